--- a/core/src/main/java/org/tallycart/core/claim/ClaimTable.java
+++ b/core/src/main/java/org/tallycart/core/claim/ClaimTable.java
@@ -32,8 +32,8 @@
 
 	private final Map<Integer, OwnedSlot> slots = new HashMap<>();
 
-	private final PriorityQueue<ClaimRecord> expiry = new PriorityQueue<>(
-			Comparator.comparingLong((ClaimRecord claim) -> claim.key().createdMs()));
+	private final PriorityQueue<KeptClaim> expiry = new PriorityQueue<>(
+			Comparator.comparingLong((KeptClaim kept) -> kept.key.createdMs()));
 
 	private int slotCount;
 
@@ -126,7 +126,7 @@
 
 	private void put(OwnedSlot owned, ClaimRecord claim) {
 		owned.claims.put(claim.key().text(), claim);
-		this.expiry.add(claim);
+		this.expiry.add(new KeptClaim(owned, claim.key()));
 	}
 
 	/**
@@ -225,17 +225,14 @@
 	public void expire(long nowMs) {
 		while (!this.expiry.isEmpty()
 				&& nowMs - oldestCreatedMs() > this.window.retentionMs() + 2 * this.window.skewMs()) {
-			IdempotencyKey key = this.expiry.remove().key();
-			OwnedSlot owned = this.slots.get(key.slot(this.slotCount));
-			if (owned != null) {
-				owned.claims.remove(key.text());
-			}
+			KeptClaim old = this.expiry.remove();
+			old.slot.claims.remove(old.key.text());
 		}
 	}
 
 	private long oldestCreatedMs() {
-		ClaimRecord oldest = this.expiry.peek();
-		return (oldest != null) ? oldest.key().createdMs() : Long.MAX_VALUE;
+		KeptClaim oldest = this.expiry.peek();
+		return (oldest != null) ? oldest.key.createdMs() : Long.MAX_VALUE;
 	}
 
 	/**
@@ -278,4 +275,8 @@
 
 	}
 
+	/** A claim waiting to grow old. */
+	private record KeptClaim(OwnedSlot slot, IdempotencyKey key) {
+	}
+
 }
--- a/core/src/main/java/org/tallycart/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/tallycart/core/limit/ShareHolder.java
@@ -28,6 +28,8 @@
 
 	private long countedFromMs;
 
+	private long askedMs = Long.MIN_VALUE;
+
 	private ShareHolder(long nowMs) {
 		this.bucket = TokenBucket.create(0, 1, nowMs);
 		this.countedFromMs = nowMs;
@@ -66,29 +68,37 @@
 	}
 
 	/**
-	 * Close the present count of arrivals and return the demand to report.
+	 * Close the present count of arrivals and make what to ask the home. What the demand
+	 * does not need of the present grant is given back with it. An answer to an earlier
+	 * request counts for nothing from now on.
+	 * @param workspace the workspace
+	 * @param vm this VM
 	 * @param nowMs the monotonic clock now
-	 * @return requests a second
+	 * @return what to ask
 	 */
-	public double demandPerSecond(long nowMs) {
+	public ShareRequest ask(String workspace, String vm, long nowMs) {
 		long elapsed = nowMs - this.countedFromMs;
 		if (elapsed > 0) {
 			double latest = this.arrivals * MILLIS / elapsed;
-			this.demand += DEMAND_WEIGHT * (latest - this.demand);
+			this.demand = Math.max(latest, this.demand + DEMAND_WEIGHT * (latest - this.demand));
 			this.arrivals = 0;
 			this.countedFromMs = nowMs;
 		}
-		return this.demand;
+		this.askedMs = nowMs;
+		this.granted = (nowMs < this.grantedUntilMs) ? Math.min(this.granted, this.demand * ShareHome.HEADROOM) : 0;
+		return new ShareRequest(workspace, vm, this.demand, this.granted);
 	}
 
 	/**
 	 * Record a grant.
 	 * @param rate the rate
-	 * @param askedAtMs when this VM asked for it, by its monotonic clock
+	 * @param answersMs when this VM asked for it, by its monotonic clock
 	 */
-	public void onGrant(double rate, long askedAtMs) {
-		this.granted = rate;
-		this.grantedUntilMs = askedAtMs + ShareHome.GRANT_MS;
+	public void onGrant(double rate, long answersMs) {
+		if (answersMs == this.askedMs) {
+			this.granted = rate;
+			this.grantedUntilMs = answersMs + ShareHome.GRANT_MS;
+		}
 	}
 
 }
--- a/core/src/main/java/org/tallycart/core/limit/ShareHome.java
+++ b/core/src/main/java/org/tallycart/core/limit/ShareHome.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.jspecify.annotations.Nullable;
 import org.tallycart.core.outcome.InvariantViolation;
 
 /**
@@ -29,7 +28,8 @@
 
 	private static final double TOLERANCE = 1e-6;
 
-	private static final double HEADROOM = 1.25;
+	/** Grants go beyond the demand reported, so that it can be seen to rise. */
+	static final double HEADROOM = 1.25;
 
 	private final long grantsFromMs;
 
@@ -61,49 +61,23 @@
 			return 0;
 		}
 		this.grants.values().removeIf((grant) -> grant.untilMs <= nowMs);
-		Grant old = this.grants.remove(request.vm());
-		double others = this.grants.values().stream().mapToDouble((grant) -> grant.counted(nowMs)).sum();
-		double demandOfOthers = this.grants.values().stream().mapToDouble((grant) -> grant.demand).sum();
+		this.grants.remove(request.vm());
+		double others = this.grants.values().stream().mapToDouble(Grant::counted).sum();
+		double demandOfOthers = this.grants.values().stream().mapToDouble(Grant::demand).sum();
 		double demand = request.demandPerSecond();
 		double fair = (demand + demandOfOthers > 0) ? grantable * demand / (demand + demandOfOthers) : 0;
-		double wanted = Math.min(fair, demand * HEADROOM);
+		double wanted = Math.min(Math.max(fair, grantable - others), demand * HEADROOM);
 		double rate = Math.max(Math.min(wanted, grantable - others), 0);
-		long untilMs = nowMs + GRANT_MS + GRANT_MARGIN_MS;
-		this.grants.put(request.vm(), new Grant(rate, demand, untilMs, old));
+		// The answer can be lost, and then the VM goes on with what it holds.
+		double counted = Math.max(rate, request.holdsPerSecond());
+		this.grants.put(request.vm(), new Grant(counted, demand, nowMs + GRANT_MS + GRANT_MARGIN_MS));
 		InvariantViolation.unless(others + rate <= grantable + TOLERANCE || rate == 0,
 				request.workspace() + ": grants exceed the limit");
 		return rate;
 	}
 
-	/**
-	 * A grant, counted at the larger of its rate and the one before it, which the VM may
-	 * use until that one lapses: the answer that lowers it can be lost.
-	 */
-	private static final class Grant {
-
-		private final double latest;
-
-		private final double demand;
-
-		private final long untilMs;
-
-		private final double earlier;
-
-		private final long earlierUntilMs;
-
-		private Grant(double latest, double demand, long untilMs, @Nullable Grant before) {
-			this.latest = latest;
-			this.demand = demand;
-			this.untilMs = untilMs;
-			this.earlier = (before != null) ? Math.max(before.latest, before.earlier) : 0;
-			this.earlierUntilMs = (before != null && this.earlier > latest)
-					? Math.max(before.untilMs, before.earlierUntilMs) : 0;
-		}
-
-		private double counted(long nowMs) {
-			return (nowMs < this.earlierUntilMs) ? Math.max(this.latest, this.earlier) : this.latest;
-		}
-
+	/** An unlapsed grant. */
+	private record Grant(double counted, double demand, long untilMs) {
 	}
 
 }
--- /dev/null
+++ b/core/src/test/java/org/tallycart/core/replication/ReplicationTests.java
@@ -0,0 +1,67 @@
+package org.tallycart.core.replication;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.tallycart.core.replication.VersionedRegister.Acceptance;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests for {@link VersionedRegister}, {@link Manifest} and {@link ThreeWayMerge}.
+ */
+public class ReplicationTests {
+
+	@DataProvider
+	Object[][] offers() {
+		return new Object[][] { { 4, 1, Acceptance.REFUSED_OLD }, { 5, 5, Acceptance.SAME },
+				{ 5, 6, Acceptance.REFUSED_DIFFERENT }, { 6, 6, Acceptance.APPLIED } };
+	}
+
+	@Test(dataProvider = "offers")
+	void aRegisterNeverGoesBack(long version, int value, Acceptance expected) {
+		VersionedRegister register = VersionedRegister.create("config");
+		register.offer(5, new byte[] { 5 });
+		assertEquals(register.offer(version, new byte[] { (byte) value }), expected);
+		assertTrue(register.version() >= 5);
+	}
+
+	@DataProvider
+	Object[][] merges() {
+		return new Object[][] { { "1", "1", "1", "1" }, { "1", "2", "1", "2" }, { "1", "1", "2", "2" },
+				{ "1", "2", "2", "2" }, { "1", "", "1", "" }, { "1", "1", "", "" }, { "", "2", "", "2" },
+				{ "1", "2", "3", "conflict" }, { "1", "", "2", "conflict" }, { "", "2", "3", "conflict" } };
+	}
+
+	@Test(dataProvider = "merges")
+	void aMergeKeepsBothChangesOrNamesTheConflict(String base, String mine, String theirs, String expected) {
+		var merged = ThreeWayMerge.merge(section(base), section(mine), section(theirs));
+		String found = merged.isLeft() ? "conflict" : merged.get().getOrDefault("s", "");
+		assertEquals(found, expected);
+	}
+
+	private static Map<String, String> section(String text) {
+		return text.isEmpty() ? Map.of() : Map.of("s", text);
+	}
+
+	@Test
+	void aManifestReadsBackAndForgetsOldChanges() {
+		Manifest manifest = Manifest.EMPTY;
+		for (int i = 0; i < 100; i++) {
+			manifest = manifest.next(new TreeMap<>(Map.of("policy", "d" + i)), "c" + i, "ana", "m" + i,
+					List.of("policy p"));
+		}
+		Manifest read = Manifest.decode(manifest.encode()).get();
+		assertEquals(read, manifest);
+		assertEquals(read.version(), 100);
+		assertEquals(read.history().size(), Manifest.HISTORY_LENGTH);
+		assertEquals(read.find("c99").orElseThrow().version(), 100);
+		assertTrue(read.find("c0").isEmpty());
+		assertEquals(read.lastToTouch("policy p").orElseThrow().id(), "c99");
+	}
+
+}
--- a/entry/src/main/java/org/tallycart/entry/WorkspaceLimits.java
+++ b/entry/src/main/java/org/tallycart/entry/WorkspaceLimits.java
@@ -5,6 +5,7 @@
 
 import org.tallycart.core.declaration.Workspace;
 import org.tallycart.core.limit.ShareHolder;
+import org.tallycart.core.limit.ShareRequest;
 import org.tallycart.entry.state.EntryState;
 import org.tallycart.entry.state.StewardLink;
 import org.tallycart.runtime.process.Clocks;
@@ -82,13 +83,14 @@
 		ShareReport.Builder report = ShareReport.newBuilder();
 		this.rates.entrySet().removeIf((entry) -> {
 			Workspace workspace = state.declarations().workspaces().get(entry.getKey());
-			double demand = entry.getValue().demandPerSecond(nowMs);
-			if (workspace == null || demand < IDLE_DEMAND) {
+			ShareRequest ask = entry.getValue().ask(entry.getKey(), "", nowMs);
+			if (workspace == null || ask.demandPerSecond() < IDLE_DEMAND) {
 				return true;
 			}
 			report.addDemands(ShareDemand.newBuilder()
 				.setWorkspace(workspace.id())
-				.setDemandPerSecond(demand)
+				.setDemandPerSecond(ask.demandPerSecond())
+				.setHoldsPerSecond(ask.holdsPerSecond())
 				.setLimitPerSecond(workspace.requestsPerSecond()));
 			return false;
 		});
--- a/steward/src/main/java/org/tallycart/steward/ShareKeeper.java
+++ b/steward/src/main/java/org/tallycart/steward/ShareKeeper.java
@@ -88,8 +88,8 @@
 		for (ShareDemand demand : report.getDemandsList()) {
 			Home home = this.homes.computeIfAbsent(demand.getWorkspace(), (key) -> new Home(ShareHome.create(nowMs)));
 			home.usedMs = nowMs;
-			double rate = home.shares.grant(new ShareRequest(demand.getWorkspace(), vm, demand.getDemandPerSecond()),
-					demand.getLimitPerSecond(), nowMs);
+			double rate = home.shares.grant(new ShareRequest(demand.getWorkspace(), vm, demand.getDemandPerSecond(),
+					demand.getHoldsPerSecond()), demand.getLimitPerSecond(), nowMs);
 			answer.addGrants(ShareGrant.newBuilder().setWorkspace(demand.getWorkspace()).setRatePerSecond(rate));
 		}
 		return answer.build();
--- a/wire/src/main/java/org/tallycart/wire/message/ShareDemand.java
+++ b/wire/src/main/java/org/tallycart/wire/message/ShareDemand.java
@@ -110,6 +110,21 @@
     return limitPerSecond_;
   }
 
+  public static final int HOLDS_PER_SECOND_FIELD_NUMBER = 4;
+  private double holdsPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Of its present grant, what the VM keeps using until it hears an answer.
+   * </pre>
+   *
+   * <code>double holds_per_second = 4;</code>
+   * @return The holdsPerSecond.
+   */
+  @java.lang.Override
+  public double getHoldsPerSecond() {
+    return holdsPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -133,6 +148,9 @@
     if (java.lang.Double.doubleToRawLongBits(limitPerSecond_) != 0) {
       output.writeDouble(3, limitPerSecond_);
     }
+    if (java.lang.Double.doubleToRawLongBits(holdsPerSecond_) != 0) {
+      output.writeDouble(4, holdsPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -148,6 +166,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(3, limitPerSecond_);
     }
+    if (java.lang.Double.doubleToRawLongBits(holdsPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(4, holdsPerSecond_);
+    }
     return size;
   }
   @java.lang.Override
@@ -180,6 +202,9 @@
     if (java.lang.Double.doubleToLongBits(getLimitPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getLimitPerSecond())) return false;
+    if (java.lang.Double.doubleToLongBits(getHoldsPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getHoldsPerSecond())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -199,6 +224,9 @@
     hash = (37 * hash) + LIMIT_PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getLimitPerSecond()));
+    hash = (37 * hash) + HOLDS_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getHoldsPerSecond()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -333,6 +361,7 @@
       workspace_ = "";
       demandPerSecond_ = 0D;
       limitPerSecond_ = 0D;
+      holdsPerSecond_ = 0D;
       return this;
     }
 
@@ -375,6 +404,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.limitPerSecond_ = limitPerSecond_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.holdsPerSecond_ = holdsPerSecond_;
+      }
     }
 
     @java.lang.Override
@@ -400,6 +432,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getLimitPerSecond()) != 0) {
         setLimitPerSecond(other.getLimitPerSecond());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getHoldsPerSecond()) != 0) {
+        setHoldsPerSecond(other.getHoldsPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -439,6 +474,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 25
+            case 33: {
+              holdsPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 33
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -592,6 +632,50 @@
       return this;
     }
 
+    private double holdsPerSecond_ ;
+    /**
+     * <pre>
+     * Of its present grant, what the VM keeps using until it hears an answer.
+     * </pre>
+     *
+     * <code>double holds_per_second = 4;</code>
+     * @return The holdsPerSecond.
+     */
+    @java.lang.Override
+    public double getHoldsPerSecond() {
+      return holdsPerSecond_;
+    }
+    /**
+     * <pre>
+     * Of its present grant, what the VM keeps using until it hears an answer.
+     * </pre>
+     *
+     * <code>double holds_per_second = 4;</code>
+     * @param value The holdsPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHoldsPerSecond(double value) {
+
+      holdsPerSecond_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of its present grant, what the VM keeps using until it hears an answer.
+     * </pre>
+     *
+     * <code>double holds_per_second = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHoldsPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      holdsPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.ShareDemand)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/ShareDemandOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/ShareDemandOrBuilder.java
@@ -33,4 +33,14 @@
    * @return The limitPerSecond.
    */
   double getLimitPerSecond();
+
+  /**
+   * <pre>
+   * Of its present grant, what the VM keeps using until it hears an answer.
+   * </pre>
+   *
+   * <code>double holds_per_second = 4;</code>
+   * @return The holdsPerSecond.
+   */
+  double getHoldsPerSecond();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -238,15 +238,15 @@
       "\030\004 \001(\004\022\r\n\005slots\030\005 \001(\t\022\023\n\013vms_version\030\006 \001" +
       "(\004\022\013\n\003vms\030\007 \001(\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nacti" +
       "ve_vms\030\t \001(\r\022\r\n\005ready\030\n \001(\010\"\'\n\007PartRef\022\014" +
-      "\n\004name\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\"U\n\013ShareDem" +
+      "\n\004name\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\"o\n\013ShareDem" +
       "and\022\021\n\tworkspace\030\001 \001(\t\022\031\n\021demand_per_sec" +
-      "ond\030\002 \001(\001\022\030\n\020limit_per_second\030\003 \001(\001\";\n\013S" +
-      "hareReport\022,\n\007demands\030\001 \003(\0132\033.tallycart." +
-      "wire.ShareDemand\"8\n\nShareGrant\022\021\n\tworksp" +
-      "ace\030\001 \001(\t\022\027\n\017rate_per_second\030\002 \001(\001\"9\n\013Sh" +
-      "areAnswer\022*\n\006grants\030\001 \003(\0132\032.tallycart.wi" +
-      "re.ShareGrantB\036\n\032org.tallycart.wire.mess" +
-      "ageP\001b\006proto3"
+      "ond\030\002 \001(\001\022\030\n\020limit_per_second\030\003 \001(\001\022\030\n\020h" +
+      "olds_per_second\030\004 \001(\001\";\n\013ShareReport\022,\n\007" +
+      "demands\030\001 \003(\0132\033.tallycart.wire.ShareDema" +
+      "nd\"8\n\nShareGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017r" +
+      "ate_per_second\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006g" +
+      "rants\030\001 \003(\0132\032.tallycart.wire.ShareGrantB" +
+      "\036\n\032org.tallycart.wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -395,7 +395,7 @@
     internal_static_tallycart_wire_ShareDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_ShareDemand_descriptor,
-        new java.lang.String[] { "Workspace", "DemandPerSecond", "LimitPerSecond", });
+        new java.lang.String[] { "Workspace", "DemandPerSecond", "LimitPerSecond", "HoldsPerSecond", });
     internal_static_tallycart_wire_ShareReport_descriptor =
       getDescriptor().getMessageType(24);
     internal_static_tallycart_wire_ShareReport_fieldAccessorTable = new
