--- a/ctl/src/main/java/org/tallycart/ctl/ApplyCommand.java
+++ b/ctl/src/main/java/org/tallycart/ctl/ApplyCommand.java
@@ -48,6 +48,9 @@
 			description = "How long to wait. Default: ${DEFAULT-VALUE}")
 	private long timeoutS;
 
+	@Option(names = "--quiet", description = "Print nothing if the change is accepted.")
+	private boolean quiet;
+
 	@Mixin
 	private FleetOptions fleet = new FleetOptions();
 
@@ -69,7 +72,7 @@
 		if (inForce) {
 			DeclarationDirectory.baseVersion(this.directory, result.version());
 		}
-		int code = this.output.result(result, exitCode(result.status()));
+		int code = (inForce && this.quiet) ? ExitCode.OK : this.output.result(result, exitCode(result.status()));
 		return (inForce && this.wait) ? await(result.version()) : code;
 	}
 
--- a/ctl/src/main/java/org/tallycart/ctl/TallyctlMain.java
+++ b/ctl/src/main/java/org/tallycart/ctl/TallyctlMain.java
@@ -19,7 +19,7 @@
 				"5:outcome unknown; the output names the command to run next",
 				"6:accepted, but not in force everywhere in time" },
 		subcommands = { ValidateCommand.class, PlanCommand.class, ApplyCommand.class, HistoryCommand.class,
-				ShowCommand.class, StatusCommand.class, TimelineCommand.class })
+				ShowCommand.class, StatusCommand.class, TimelineCommand.class, PolicyCommand.class })
 public final class TallyctlMain implements Runnable {
 
 	/**
--- a/entry/src/main/java/org/tallycart/entry/RequestRunner.java
+++ b/entry/src/main/java/org/tallycart/entry/RequestRunner.java
@@ -14,6 +14,7 @@
 import org.tallycart.core.outcome.Reason;
 import org.tallycart.core.outcome.RequestLedger;
 import org.tallycart.core.policy.Policy;
+import org.tallycart.core.policy.RecordedDecision;
 import org.tallycart.core.policy.RequestFacts;
 import org.tallycart.entry.caller.Answer;
 import org.tallycart.entry.caller.CallerRequest;
@@ -70,7 +71,6 @@
 	 * @return the run, which {@link Run#finish} must end
 	 */
 	Run begin(CallerRequest request) {
-		this.events.emit(EventCode.REQUEST_ARRIVED, request.id(), request.workspace() + " " + request.pipeline());
 		long nowMs = Clocks.SYSTEM.monotonicMs();
 		EntryState known = this.state.get();
 		Pipeline pipeline = known.declarations().pipelines().get(request.pipeline());
@@ -80,12 +80,15 @@
 			boolean waits = known.configVersion() == 0;
 			Ending ending = new Ending(Outcome.NOT_RUN, waits ? Reason.NOT_READY : Reason.NOT_DECLARED,
 					what + " is not declared in version " + known.configVersion(), waits ? COME_BACK_MS : 0);
+			this.events.emit(EventCode.REQUEST_ARRIVED, request.id(), request.workspace() + " " + request.pipeline());
 			return new Run(request, nowMs, ending);
 		}
 		long deadline = (request.deadlineMs() > 0) ? request.deadlineMs() : pipeline.deadlineMs();
 		Policy policy = known.policy(pipeline);
-		long priority = policy.priority(new RequestFacts(request.workspace(), request.pipeline(), request.label(),
-				request.repeatable(), deadline, request.maxTokens()));
+		RequestFacts facts = new RequestFacts(request.workspace(), request.pipeline(), request.label(),
+				request.repeatable(), deadline, request.maxTokens());
+		long priority = policy.priority(facts);
+		this.events.emit(EventCode.REQUEST_ARRIVED, request.id(), RecordedDecision.of(facts, priority).encode());
 		RequestContext context = new RequestContext(request, known, pipeline, workspace, policy, priority, nowMs,
 				nowMs + deadline, RequestLedger.open(request.id(), request.repeatable()), new CostMeter());
 		Run run = new Run(context);
--- a/policy/src/main/java/org/tallycart/policy/CelPolicy.java
+++ b/policy/src/main/java/org/tallycart/policy/CelPolicy.java
@@ -1,11 +1,12 @@
 package org.tallycart.policy;
 
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import dev.cel.runtime.CelEvaluationException;
 import dev.cel.runtime.CelRuntime;
+import dev.cel.runtime.CelVariableResolver;
 import org.tallycart.core.policy.BuiltInPolicy;
 import org.tallycart.core.policy.LoadFacts;
 import org.tallycart.core.policy.Policy;
@@ -36,53 +37,65 @@
 
 	@Override
 	public boolean admit(RequestFacts request) {
-		return evaluate(RuleKind.ADMIT, facts(request), Boolean.class, () -> BuiltInPolicy.INSTANCE.admit(request));
+		return evaluate(RuleKind.ADMIT, (name) -> find(name, request), Boolean.class,
+				() -> BuiltInPolicy.INSTANCE.admit(request));
 	}
 
 	@Override
 	public long priority(RequestFacts request) {
-		return evaluate(RuleKind.PRIORITY, facts(request), Long.class, () -> BuiltInPolicy.INSTANCE.priority(request));
+		return evaluate(RuleKind.PRIORITY, (name) -> find(name, request), Long.class,
+				() -> BuiltInPolicy.INSTANCE.priority(request));
 	}
 
 	@Override
 	public double place(RequestFacts request, UpstreamFacts upstream) {
-		if (!this.programs.containsKey(RuleKind.PLACE)) {
-			return BuiltInPolicy.INSTANCE.place(request, upstream);
-		}
-		Map<String, Object> facts = facts(request);
-		facts.put("upstream.id", upstream.id());
-		facts.put("upstream.domain", upstream.domain());
-		facts.put("upstream.same_domain", upstream.sameDomain());
-		facts.put("upstream.in_flight", (long) upstream.inFlight());
-		facts.put("upstream.reported", (long) upstream.reported());
-		facts.put("upstream.report_age_ms", upstream.reportAgeMs());
-		facts.put("upstream.slots", (long) upstream.slots());
-		return evaluate(RuleKind.PLACE, facts, Double.class, () -> BuiltInPolicy.INSTANCE.place(request, upstream));
+		return evaluate(RuleKind.PLACE, (name) -> find(name, request).or(() -> find(name, upstream)), Double.class,
+				() -> BuiltInPolicy.INSTANCE.place(request, upstream));
 	}
 
 	@Override
 	public boolean shed(RequestFacts request, LoadFacts load) {
-		Map<String, Object> facts = facts(request);
-		facts.put("load.stage", load.stage());
-		facts.put("load.waiting", (long) load.waiting());
-		facts.put("load.in_flight", (long) load.inFlight());
-		facts.put("load.limit", (long) load.limit());
-		facts.put("load.wait_ms", load.waitMs());
-		return evaluate(RuleKind.SHED, facts, Boolean.class, () -> BuiltInPolicy.INSTANCE.shed(request, load));
+		return evaluate(RuleKind.SHED, (name) -> find(name, request).or(() -> find(name, load)), Boolean.class,
+				() -> BuiltInPolicy.INSTANCE.shed(request, load));
+	}
+
+	private static Optional<Object> find(String name, RequestFacts request) {
+		return switch (name) {
+			case "request.workspace" -> Optional.of(request.workspace());
+			case "request.pipeline" -> Optional.of(request.pipeline());
+			case "request.label" -> Optional.of(request.label());
+			case "request.repeatable" -> Optional.of(request.repeatable());
+			case "request.remaining_ms" -> Optional.of(request.remainingMs());
+			case "request.max_tokens" -> Optional.of(request.maxTokens());
+			default -> Optional.empty();
+		};
+	}
+
+	private static Optional<Object> find(String name, UpstreamFacts upstream) {
+		return switch (name) {
+			case "upstream.id" -> Optional.of(upstream.id());
+			case "upstream.domain" -> Optional.of(upstream.domain());
+			case "upstream.same_domain" -> Optional.of(upstream.sameDomain());
+			case "upstream.in_flight" -> Optional.of((long) upstream.inFlight());
+			case "upstream.reported" -> Optional.of((long) upstream.reported());
+			case "upstream.report_age_ms" -> Optional.of(upstream.reportAgeMs());
+			case "upstream.slots" -> Optional.of((long) upstream.slots());
+			default -> Optional.empty();
+		};
 	}
 
-	private static Map<String, Object> facts(RequestFacts request) {
-		Map<String, Object> facts = new HashMap<>();
-		facts.put("request.workspace", request.workspace());
-		facts.put("request.pipeline", request.pipeline());
-		facts.put("request.label", request.label());
-		facts.put("request.repeatable", request.repeatable());
-		facts.put("request.remaining_ms", request.remainingMs());
-		facts.put("request.max_tokens", request.maxTokens());
-		return facts;
+	private static Optional<Object> find(String name, LoadFacts load) {
+		return switch (name) {
+			case "load.stage" -> Optional.of(load.stage());
+			case "load.waiting" -> Optional.of((long) load.waiting());
+			case "load.in_flight" -> Optional.of((long) load.inFlight());
+			case "load.limit" -> Optional.of((long) load.limit());
+			case "load.wait_ms" -> Optional.of(load.waitMs());
+			default -> Optional.empty();
+		};
 	}
 
-	private <T> T evaluate(RuleKind kind, Map<String, Object> facts, Class<T> type, Supplier<T> builtIn) {
+	private <T> T evaluate(RuleKind kind, CelVariableResolver facts, Class<T> type, Supplier<T> builtIn) {
 		CelRuntime.Program program = this.programs.get(kind);
 		if (program == null) {
 			return builtIn.get();
--- a/steward/src/main/java/org/tallycart/steward/EntryFeed.java
+++ b/steward/src/main/java/org/tallycart/steward/EntryFeed.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import com.google.protobuf.ByteString;
+import org.jspecify.annotations.Nullable;
 import org.tallycart.wire.WirePeer;
 import org.tallycart.wire.message.Blob;
 import org.tallycart.wire.message.Envelope;
@@ -48,15 +49,29 @@
 	}
 
 	private void push(Subscriber subscriber) {
+		Summary now = new Summary(this.state.manifest().version(), version(RegisterName.SLOTS),
+				version(RegisterName.VMS), this.state.leaving().size(), this.activeVms.getAsInt(),
+				this.ready.getAsBoolean());
+		if (now.equals(subscriber.told)) {
+			return;
+		}
 		StateUpdate.Builder update = StateUpdate.newBuilder()
-			.setConfigVersion(this.state.manifest().version())
-			.setSlotsVersion(this.state.register(RegisterName.SLOTS).version())
-			.setSlots(text(RegisterName.SLOTS))
-			.setVmsVersion(this.state.vms().version())
-			.setVms(text(RegisterName.VMS))
+			.setConfigVersion(now.config)
 			.addAllLeaving(this.state.leaving())
-			.setActiveVms(this.activeVms.getAsInt())
-			.setReady(this.ready.getAsBoolean());
+			.setActiveVms(now.activeVms)
+			.setReady(now.ready);
+		if (subscriber.told == null || subscriber.told.slots != now.slots) {
+			update.setSlotsVersion(now.slots).setSlots(text(RegisterName.SLOTS));
+		}
+		if (subscriber.told == null || subscriber.told.vms != now.vms) {
+			update.setVmsVersion(now.vms).setVms(text(RegisterName.VMS));
+		}
+		addParts(update, subscriber);
+		subscriber.told = now;
+		subscriber.peer.send(Envelope.newBuilder().setStateUpdate(update));
+	}
+
+	private void addParts(StateUpdate.Builder update, Subscriber subscriber) {
 		this.state.manifest().parts().forEach((name, digest) -> {
 			update.addPartRefs(PartRef.newBuilder().setName(name).setDigest(digest));
 			byte[] blob = this.state.blob(digest);
@@ -65,7 +80,10 @@
 			}
 		});
 		subscriber.sent.retainAll(this.state.manifest().parts().values());
-		subscriber.peer.send(Envelope.newBuilder().setStateUpdate(update));
+	}
+
+	private long version(String register) {
+		return this.state.register(register).version();
 	}
 
 	private String text(String register) {
@@ -78,10 +96,16 @@
 
 		private final Set<String> sent = new HashSet<>();
 
+		private @Nullable Summary told;
+
 		private Subscriber(WirePeer peer) {
 			this.peer = peer;
 		}
 
 	}
 
+	/** What an entry was told, in short. */
+	private record Summary(long config, long slots, long vms, int leaving, int activeVms, boolean ready) {
+	}
+
 }
--- a/steward/src/main/java/org/tallycart/steward/SlotKeeper.java
+++ b/steward/src/main/java/org/tallycart/steward/SlotKeeper.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 
 import io.vavr.control.Either;
@@ -64,6 +65,8 @@
 
 	private @Nullable SlotChange unresolved;
 
+	private @Nullable Inputs settled;
+
 	private long handoverSequence;
 
 	SlotKeeper(WireIdentity identity, FleetState state, Peers peers, PlatformLink platform, ControlThread control,
@@ -106,6 +109,11 @@
 			return;
 		}
 		List<String> active = new ArrayList<>(this.peers.active(Clocks.SYSTEM.monotonicMs()));
+		Inputs inputs = new Inputs(this.state.register(RegisterName.SLOTS).version(), this.state.vms().version(),
+				this.draining, Set.copyOf(active));
+		if (inputs.equals(this.settled)) {
+			return;
+		}
 		if (!this.draining) {
 			active.add(this.identity.vm());
 			List<Integer> takeovers = SlotPlan.takeovers(this.state.slots(), this.identity.vm(),
@@ -119,7 +127,9 @@
 				this.identity.incarnation(), active);
 		if (!plan.isEmpty()) {
 			handOver(plan.firstKey(), plan.getOrDefault(plan.firstKey(), List.of()));
+			return;
 		}
+		this.settled = inputs;
 	}
 
 	private SlotChange change(List<Integer> slots, String vm, long incarnation, boolean handedOver) {
@@ -274,4 +284,10 @@
 		return Map.of("open_slots", this.claims.openSlotCount(), "claims", this.claims.size());
 	}
 
+	/**
+	 * What a plan is made from; while it stays the same, there is nothing to do again.
+	 */
+	private record Inputs(long slotsVersion, long vmsVersion, boolean draining, Set<String> active) {
+	}
+
 }
--- /dev/null
+++ b/testbed/src/main/java/org/tallycart/testbed/Experiment.java
@@ -0,0 +1,182 @@
+package org.tallycart.testbed;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import org.jspecify.annotations.Nullable;
+import org.tallycart.load.LoadReport;
+import org.tallycart.load.LoadRun;
+import org.tallycart.load.Scenario;
+import org.tallycart.runtime.process.ExitCode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Runs the same load under different decisions, in turns on one fleet, and under faults.
+ * <p>
+ * Not thread-safe.
+ *
+ * @since 0.1
+ */
+@Command(name = "experiment", mixinStandardHelpOptions = true,
+		description = "Measure attainment and cost by stage under load and faults, beside baselines.")
+final class Experiment implements Callable<Integer> {
+
+	private static final List<String> WORKSPACES = List.of("chapinero-norte", "fontibon-plaza", "kennedy-central",
+			"usaquen-mercado");
+
+	private static final String CHOSEN = "two-choices-aged";
+
+	private static final List<String> BALANCERS = List.of(CHOSEN, "two-choices", "least-in-flight", "round-robin");
+
+	private static final String MENDED = "{\"slow_factor\":1,\"fail_percent\":0,\"hang\":false,\"report_lag_ms\":0}";
+
+	/**
+	 * Requests a second that keep the engines' eight slots busy: 8 / (20 ms + 32 tokens
+	 * of 5.25 ms).
+	 */
+	private static final double CAPACITY = 8 / 0.188;
+
+	private static final long APPLY_MS = 1_500;
+
+	@Option(names = "--duration-s", defaultValue = "8", description = "Seconds of each run. Default: ${DEFAULT-VALUE}")
+	private int durationS;
+
+	@Option(names = "--vms", split = ",", defaultValue = "3", description = "Fleet sizes. Default: ${DEFAULT-VALUE}")
+	private List<Integer> vms = List.of();
+
+	@Option(names = "--only", defaultValue = "", description = "Only situations whose name begins so.")
+	private String only = "";
+
+	@Option(names = "--set", paramLabel = "PROGRAM.SECTION.KEY=VALUE",
+			description = "A setting, such as entry.routing.overcommit=1.0; may be given several times.")
+	private Map<String, String> settings = Map.of();
+
+	@Option(names = "--json", paramLabel = "FILE", description = "Write all reports as JSON.")
+	private @Nullable Path json;
+
+	private final ArrayNode reports = new ObjectMapper().createArrayNode();
+
+	@Override
+	public Integer call() throws IOException {
+		System.out.printf("%-4s %-26s %-17s %6s %9s %8s %6s %6s %7s %9s %7s%n", "VMs", "situation", "balancer", "load%",
+				"attained", "goodput", "p50", "p99", "extra%", "abandon%", "wrong");
+		for (int size : this.vms) {
+			try (LocalFleet fleet = LocalFleet.start(shape(size), this.settings)) {
+				run(fleet, size, Trial.steady("warm-up", 60, mix()), CHOSEN, false);
+				for (Trial trial : trials()) {
+					if (trial.name().startsWith(this.only)) {
+						turns(fleet, size, trial);
+					}
+				}
+			}
+		}
+		if (this.json != null) {
+			Files.writeString(this.json, this.reports.toPrettyString());
+		}
+		return ExitCode.OK;
+	}
+
+	private void turns(LocalFleet fleet, int size, Trial trial) throws IOException {
+		boolean compares = trial.name().startsWith("steady 90") || trial.name().startsWith("straggler")
+				|| trial.name().startsWith("lag");
+		for (String balancer : compares ? BALANCERS : List.of(CHOSEN)) {
+			run(fleet, size, trial, balancer, true);
+		}
+	}
+
+	private void run(LocalFleet fleet, int size, Trial trial, String balancer, boolean print) throws IOException {
+		fleet.apply(fleet.declarations().replace("kind = ", "balancer = " + balancer + "\nkind = "));
+		Waiting.pause(APPLY_MS);
+		trial.begin().on(fleet);
+		long millis = this.durationS * 1_000L;
+		Scenario scenario = new Scenario(CAPACITY * trial.loadPercent() / 100, millis, 3, millis / 4, millis / 4,
+				trial.burstFactor(), 0, trial.kinds());
+		LoadReport report = LoadRun.run(scenario, fleet::entries);
+		trial.end().on(fleet);
+		if (print) {
+			print(size, trial, balancer, report);
+		}
+	}
+
+	private void print(int size, Trial trial, String balancer, LoadReport report) {
+		double useful = report.cost("useful");
+		double extra = report.cost("retried") + report.cost("hedged");
+		double abandoned = report.cost("abandoned");
+		double all = Math.max(useful + extra + abandoned, 1);
+		System.out.printf("%-4d %-26s %-17s %6d %8.2f%% %8.1f %6d %6d %6.2f%% %8.2f%% %7d%n", size, trial.name(),
+				balancer, trial.loadPercent(), report.attainment() * 100, report.goodput(), report.totalMs(50),
+				report.totalMs(99), 100 * extra / all, 100 * abandoned / all, report.violationCount());
+		trial.kinds().forEach((kind) -> {
+			if (trial.kinds().size() > 1) {
+				System.out.printf("       %-44s %8.2f%%%n", kind.name(), report.attainment(kind.name()) * 100);
+			}
+		});
+		this.reports.addObject()
+			.put("vms", size)
+			.put("situation", trial.name())
+			.put("balancer", balancer)
+			.set("report", report.json());
+	}
+
+	private static FleetShape shape(int size) {
+		return FleetShape.bogota(size)
+			.withServices(List.of(new ServiceShape("encode", "encode", 2, 4, 4, 0, 1, 0),
+					new ServiceShape("retrieve", "retrieve", 2, 4, 6, 0, 1, 0),
+					new ServiceShape("rerank", "rerank", 2, 4, 8, 0, 2, 0),
+					new ServiceShape("generate", "generate", 4, 2, 20, 5, 2, 0.5),
+					new ServiceShape("dispatch", "plain", 2, 4, 15, 0, 1, 0),
+					new ServiceShape("catalogue", "plain", 1, 4, 10, 0, 1, 0),
+					new ServiceShape("payment", "plain", 1, 4, 20, 0, 1, 0),
+					new ServiceShape("portal", "plain", 1, 4, 10, 0, 1, 0)));
+	}
+
+	private static Scenario.Kind kind(String name, double weight, List<String> workspaces, long deadlineMs, int least,
+			int most) {
+		return new Scenario.Kind(name, weight, "assistant", workspaces, "shopper", deadlineMs, least, most, true, true,
+				0);
+	}
+
+	private static List<Scenario.Kind> mix() {
+		return List.of(kind("question", 1, WORKSPACES, 1_500, 16, 48));
+	}
+
+	private List<Trial> trials() {
+		List<Trial> trials = new ArrayList<>();
+		for (int load : new int[] { 60, 90, 100, 120 }) {
+			trials.add(Trial.steady("steady " + load, load, mix()));
+		}
+		trials.add(new Trial("burst of 5", 60, 5, mix(), Trial.NOTHING, Trial.NOTHING));
+		trials.add(Trial.steady("after the burst", 60, mix()));
+		for (String stage : List.of("encode", "rerank", "generate")) {
+			trials.add(Trial.fault("straggler in " + stage, mix(), stage + "-1", "{\"slow_factor\":10}", MENDED));
+		}
+		trials.add(Trial.fault("rerank fails 20%", mix(), "rerank", "{\"fail_percent\":20}", MENDED));
+		trials.add(Trial.fault("retrieve-1 never answers", mix(), "retrieve-1", "{\"hang\":true}", MENDED));
+		trials.add(Trial.fault("lag of reports 5 s", mix(), "generate", "{\"report_lag_ms\":5000}", MENDED));
+		trials.add(Trial.steady("one workspace floods", 150, List.of(kind("quiet", 1, WORKSPACES, 1_500, 16, 48),
+				kind("flood", 2, List.of("suba-express"), 1_500, 16, 48))));
+		trials.add(Trial.steady("long beside short", 100,
+				List.of(kind("short", 6, WORKSPACES, 1_000, 4, 12), kind("long", 1, WORKSPACES, 20_000, 120, 160))));
+		trials
+			.add(new Trial("entry killed", 60, 1, mix(), (fleet) -> kill(fleet, 0), (fleet) -> fleet.restartEntry(0)));
+		return trials;
+	}
+
+	private static void kill(LocalFleet fleet, int number) {
+		new Thread(() -> {
+			Waiting.pause(2_000);
+			fleet.vm(number).entry().kill();
+			Waiting.pause(500);
+			fleet.vm(number).balancer(false);
+		}, "killer").start();
+	}
+
+}
--- a/testbed/src/main/java/org/tallycart/testbed/LocalFleet.java
+++ b/testbed/src/main/java/org/tallycart/testbed/LocalFleet.java
@@ -54,6 +54,8 @@
 
 	private final Map<String, String> settings = new HashMap<>();
 
+	private final List<String> jvmOptions = new ArrayList<>();
+
 	private ManagedProcess standins;
 
 	@SuppressWarnings("NullAway.Init")
@@ -80,8 +82,22 @@
 	 * @throws IOException if it cannot be started
 	 */
 	public static LocalFleet start(FleetShape shape, Map<String, String> settings) throws IOException {
+		return start(shape, settings, List.of("-XX:TieredStopAtLevel=1"));
+	}
+
+	/**
+	 * Start a fleet with settings and JVM options of its own and wait until it is ready.
+	 * @param shape what it is made of
+	 * @param settings extra settings, by {@code program.section.key}
+	 * @param jvmOptions options of every process's JVM
+	 * @return the fleet
+	 * @throws IOException if it cannot be started
+	 */
+	public static LocalFleet start(FleetShape shape, Map<String, String> settings, List<String> jvmOptions)
+			throws IOException {
 		LocalFleet fleet = new LocalFleet(shape, Files.createTempDirectory("tallycart-" + shape.name() + "-"));
 		fleet.settings.putAll(settings);
+		fleet.jvmOptions.addAll(jvmOptions);
 		try {
 			fleet.startAll();
 			return fleet;
@@ -94,7 +110,7 @@
 
 	private void startAll() throws IOException {
 		this.standins = ManagedProcess.start("org.tallycart.standin.StandinMain",
-				write("standin.ini", standinSettings()), log("standin"), List.of("-Xmx768m"));
+				write("standin.ini", standinSettings()), log("standin"), jvm("-Xmx768m"));
 		for (int i = 0; i < this.shape.vms(); i++) {
 			this.vms.add(new VmProcesses("vm-" + (i + 1), this.shape.domain(i)));
 		}
@@ -199,6 +215,12 @@
 		return proxy;
 	}
 
+	private List<String> jvm(String heap) {
+		List<String> options = new ArrayList<>(this.jvmOptions);
+		options.add(heap);
+		return options;
+	}
+
 	private void startSteward(VmProcesses vm) throws IOException {
 		Address platform = this.standins.address(PLATFORM);
 		if (this.shape.platformProxies()) {
@@ -219,7 +241,7 @@
 		ini.put("platform", new LinkedHashMap<>(
 				Map.of("address", platform.toString(), "poll-interval", "500ms", "timeout", "1s", "watch-wait", "3s")));
 		vm.steward = ManagedProcess.start("org.tallycart.steward.StewardMain",
-				write("steward-" + vm.id + ".ini", ini("steward", ini)), log("steward-" + vm.id), List.of("-Xmx64m"));
+				write("steward-" + vm.id + ".ini", ini("steward", ini)), log("steward-" + vm.id), jvm("-Xmx40m"));
 		vm.peerPort = vm.steward.address("peer").port();
 		vm.stewardStatusPort = vm.steward.address("status").port();
 	}
@@ -236,7 +258,7 @@
 		ini.put("steward", new LinkedHashMap<>(Map.of("address", vm.steward.address("peer").toString())));
 		ini.put("drain", new LinkedHashMap<>(Map.of("lead", "500ms", "timeout", "30s")));
 		vm.entry = ManagedProcess.start("org.tallycart.entry.EntryMain",
-				write("entry-" + vm.id + ".ini", ini("entry", ini)), log("entry-" + vm.id), List.of("-Xmx256m"));
+				write("entry-" + vm.id + ".ini", ini("entry", ini)), log("entry-" + vm.id), jvm("-Xmx256m"));
 		vm.callersPort = vm.entry.address("callers").port();
 		vm.entryStatusPort = vm.entry.address("status").port();
 	}
@@ -294,7 +316,7 @@
 	public int apply(String text) throws IOException {
 		Path declared = Files.createDirectories(this.directory.resolve("declarations"));
 		Files.writeString(declared.resolve("all.ini"), text);
-		return TallyctlMain.execute("apply", "--platform", platform().toString(), "--author", "testbed",
+		return TallyctlMain.execute("apply", "--platform", platform().toString(), "--author", "testbed", "--quiet",
 				declared.toString());
 	}
 
--- a/testbed/src/main/java/org/tallycart/testbed/ManagedProcess.java
+++ b/testbed/src/main/java/org/tallycart/testbed/ManagedProcess.java
@@ -48,11 +48,13 @@
 			throws IOException {
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-		command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xss512k"));
+		command.addAll(List.of("-XX:+UseSerialGC", "-Xss512k"));
 		command.addAll(jvmOptions);
 		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass, "--config", config.toString()));
 		Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
 			.start();
+		// A testbed that is interrupted leaves no process behind.
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-child"));
 		BufferedReader out = new BufferedReader(
 				new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
 		String line = out.readLine();
--- a/testbed/src/main/java/org/tallycart/testbed/ProcessMeasurement.java
+++ b/testbed/src/main/java/org/tallycart/testbed/ProcessMeasurement.java
@@ -21,9 +21,9 @@
  */
 final class ProcessMeasurement {
 
-	private static final long SETTLE_MS = 8_000;
+	private static final long SETTLE_MS = 20_000;
 
-	private static final long WINDOW_MS = 15_000;
+	private static final long WINDOW_MS = 12_000;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
@@ -39,7 +39,7 @@
 			steward(out, vms);
 		}
 		out.println("one entry under load: requests/s, tokens/s, cpu % of a core, resident MB");
-		for (double rate : new double[] { 0.1, 20, 40, 80 }) {
+		for (double rate : new double[] { 0.1, 40, 80 }) {
 			entry(out, "dispatch", rate, 1, false);
 		}
 		for (int tokens : new int[] { 8, 64, 192 }) {
@@ -64,7 +64,7 @@
 	private static void steward(PrintStream out, int vms) throws IOException {
 		Map<String, String> asShipped = Map.of("steward.peer.heartbeat-interval", "1s",
 				"steward.platform.poll-interval", "1s", "steward.platform.watch-wait", "5s");
-		try (LocalFleet fleet = LocalFleet.start(FleetShape.bogota(vms), asShipped)) {
+		try (LocalFleet fleet = LocalFleet.start(FleetShape.bogota(vms), asShipped, List.of())) {
 			Waiting.pause(SETTLE_MS);
 			JsonNode before = metrics(fleet.vm(0).steward());
 			long readsBefore = reads(fleet.platform());
@@ -83,8 +83,8 @@
 			throws IOException {
 		Scenario.Kind kind = new Scenario.Kind("k", 1, pipeline, List.of("suba-express"), "", 10_000, tokens, tokens,
 				repeatable, repeatable, 0);
-		try (LocalFleet fleet = LocalFleet.start(FleetShape.bogota(1))) {
-			LoadRun.run(new Scenario(Math.max(rate, 20), 8_000, 1, 0, 0, 1, 0, List.of(kind)), fleet::entries);
+		try (LocalFleet fleet = LocalFleet.start(FleetShape.bogota(1), Map.of(), List.of())) {
+			LoadRun.run(new Scenario(Math.max(rate, 40), 12_000, 1, 0, 0, 1, 0, List.of(kind)), fleet::entries);
 			JsonNode before = metrics(fleet.vm(0).entry());
 			LoadReport report = LoadRun.run(new Scenario(rate, WINDOW_MS, 2, 0, 0, 1, 0, List.of(kind)),
 					fleet::entries);
--- /dev/null
+++ b/testbed/src/main/java/org/tallycart/testbed/Trial.java
@@ -0,0 +1,41 @@
+package org.tallycart.testbed;
+
+import java.util.List;
+
+import org.tallycart.load.Scenario;
+
+/**
+ * One situation of an experiment: a load, and what goes wrong during it.
+ *
+ * @param name its name in the table
+ * @param loadPercent load in percent of the fleet's capacity
+ * @param burstFactor by how much the load rises for a part of the time; 1 for not at all
+ * @param kinds the kinds of request
+ * @param begin brings the fault about
+ * @param end mends it
+ * @since 0.1
+ */
+record Trial(String name, int loadPercent, double burstFactor, List<Scenario.Kind> kinds, FleetAction begin,
+		FleetAction end) {
+
+	static final FleetAction NOTHING = (fleet) -> {
+	};
+
+	static Trial steady(String name, int loadPercent, List<Scenario.Kind> kinds) {
+		return new Trial(name, loadPercent, 1, kinds, NOTHING, NOTHING);
+	}
+
+	static Trial fault(String name, List<Scenario.Kind> kinds, String prefix, String fault, String mended) {
+		return new Trial(name, 60, 1, kinds, (fleet) -> fleet.upstreamFault((id) -> id.startsWith(prefix), fault),
+				(fleet) -> fleet.upstreamFault((id) -> id.startsWith(prefix), mended));
+	}
+
+	/** Does something to a fleet. */
+	@FunctionalInterface
+	interface FleetAction {
+
+		void on(LocalFleet fleet) throws java.io.IOException;
+
+	}
+
+}
--- a/wire/src/main/java/org/tallycart/wire/WireClient.java
+++ b/wire/src/main/java/org/tallycart/wire/WireClient.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -67,7 +68,8 @@
 		CompletableFuture<Either<WireError, Envelope>> result = new CompletableFuture<>();
 		ChannelFuture channel = connect();
 		this.pending.put(correlation, result);
-		this.group.schedule(() -> timeOut(correlation), timeoutMs, TimeUnit.MILLISECONDS);
+		ScheduledFuture<?> timer = this.group.schedule(() -> timeOut(correlation), timeoutMs, TimeUnit.MILLISECONDS);
+		result.thenRun(() -> timer.cancel(false));
 		channel.addListener((done) -> {
 			if (!done.isSuccess()) {
 				complete(correlation, Either.left(WireError.NOT_CONNECTED));
