--- a/core/src/main/java/org/tallycart/core/declaration/BalancerKind.java
+++ b/core/src/main/java/org/tallycart/core/declaration/BalancerKind.java
@@ -7,6 +7,8 @@
  */
 public enum BalancerKind {
 
+	/** The least of all, scored by own calls in flight plus reported load by age. */
+	LEAST_LOAD_AGED,
 	/** Two random choices, scored by own calls in flight plus reported load by age. */
 	TWO_CHOICES_AGED,
 	/** Two random choices, reported load taken as if it were fresh. */
--- a/core/src/main/java/org/tallycart/core/declaration/DeclarationReader.java
+++ b/core/src/main/java/org/tallycart/core/declaration/DeclarationReader.java
@@ -120,7 +120,7 @@
 				new Service(section.id(), kind, reader.text("model", ""), reader.text("path", "/call"),
 						reader.decimal("cost-per-call", 1, 0, MAX_RATE),
 						reader.decimal("cost-per-token", 0, 0, MAX_RATE),
-						reader.word("balancer", BalancerKind.class, BalancerKind.TWO_CHOICES_AGED), upstreams));
+						reader.word("balancer", BalancerKind.class, BalancerKind.LEAST_LOAD_AGED), upstreams));
 	}
 
 	private void upstream(String item, SectionReader reader, List<Upstream> upstreams) {
--- /dev/null
+++ b/core/src/main/java/org/tallycart/core/routing/LeastLoadBalancer.java
@@ -0,0 +1,47 @@
+package org.tallycart.core.routing;
+
+import java.util.List;
+
+/**
+ * Takes the upstream with the lowest score of all; ties are broken at random. Meant for
+ * the small subset of a service's upstreams that one VM uses.
+ * <p>
+ * Thread-safe: holds no state.
+ *
+ * @since 0.1
+ * @see LoadScore
+ */
+public final class LeastLoadBalancer implements Balancer {
+
+	private final LoadScore score;
+
+	private LeastLoadBalancer(double halfLifeMs) {
+		this.score = new LoadScore(halfLifeMs);
+	}
+
+	/**
+	 * Create a balancer that discounts reports by their age.
+	 * @param halfLifeMs age at which a report counts half, in milliseconds
+	 * @return the balancer
+	 */
+	public static LeastLoadBalancer aged(double halfLifeMs) {
+		return new LeastLoadBalancer(halfLifeMs);
+	}
+
+	@Override
+	public Candidate choose(List<Candidate> candidates, RandomSource random) {
+		int start = random.below(candidates.size());
+		Candidate best = candidates.get(start);
+		double lowest = this.score.of(best);
+		for (int i = 1; i < candidates.size(); i++) {
+			Candidate next = candidates.get((start + i) % candidates.size());
+			double score = this.score.of(next);
+			if (score < lowest) {
+				best = next;
+				lowest = score;
+			}
+		}
+		return best;
+	}
+
+}
--- a/core/src/main/java/org/tallycart/core/routing/StageQueue.java
+++ b/core/src/main/java/org/tallycart/core/routing/StageQueue.java
@@ -142,12 +142,18 @@
 	}
 
 	/**
-	 * Return how many waiting items go before an item of a priority, at the most.
-	 * @param priority the priority
+	 * Return how many waiting items would go before a new one. Items of a workspace that
+	 * waits with more than its share go after it.
+	 * @param workspace the new item's workspace
+	 * @param priority its priority
 	 * @return the number
 	 */
-	public int aheadOf(long priority) {
-		return (int) this.waiting.stream().filter((item) -> item.work.priority() >= priority).count();
+	public int aheadOf(String workspace, long priority) {
+		double start = Math.max(this.virtualTime, this.finishTags.getOrDefault(workspace, 0.0));
+		return (int) this.waiting.stream().filter((item) -> {
+			long other = item.work.priority();
+			return other > priority || (other == priority && item.start <= start);
+		}).count();
 	}
 
 	private static int order(Item<?> one, Item<?> two) {
--- a/core/src/main/java/org/tallycart/core/routing/TwoChoicesBalancer.java
+++ b/core/src/main/java/org/tallycart/core/routing/TwoChoicesBalancer.java
@@ -11,15 +11,14 @@
  * Thread-safe: holds no state.
  *
  * @since 0.1
+ * @see LoadScore
  */
 public final class TwoChoicesBalancer implements Balancer {
 
-	private static final double OTHER_DOMAIN_COST = 0.05;
-
-	private final double halfLifeMs;
+	private final LoadScore score;
 
 	private TwoChoicesBalancer(double halfLifeMs) {
-		this.halfLifeMs = halfLifeMs;
+		this.score = new LoadScore(halfLifeMs);
 	}
 
 	/**
@@ -49,26 +48,7 @@
 		int second = (first + 1 + random.below(size - 1)) % size;
 		Candidate one = candidates.get(first);
 		Candidate two = candidates.get(second);
-		return (score(one) <= score(two)) ? one : two;
-	}
-
-	/**
-	 * Score an upstream.
-	 * @param candidate the upstream
-	 * @return the score; the lower, the better
-	 */
-	double score(Candidate candidate) {
-		double load = candidate.inFlight() + othersLoad(candidate) + candidate.policyScore();
-		double domain = candidate.sameDomain() ? 0 : OTHER_DOMAIN_COST;
-		return (load + 1) / candidate.upstream().slots() + domain;
-	}
-
-	private double othersLoad(Candidate candidate) {
-		if (candidate.reportAgeMs() < 0) {
-			return 0;
-		}
-		int others = Math.max(candidate.reported() - candidate.reportedInFlight(), 0);
-		return others * Math.pow(0.5, candidate.reportAgeMs() / this.halfLifeMs);
+		return (this.score.of(one) <= this.score.of(two)) ? one : two;
 	}
 
 }
--- a/core/src/main/java/org/tallycart/core/routing/UpstreamHealth.java
+++ b/core/src/main/java/org/tallycart/core/routing/UpstreamHealth.java
@@ -14,6 +14,9 @@
 
 	private static final int FAILURES_TO_EJECT = 3;
 
+	/** Samples that peers are compared by. */
+	static final int SAMPLES_TO_COMPARE = 5;
+
 	private static final long FIRST_EJECTION_MS = 1_000;
 
 	private static final long LONGEST_EJECTION_MS = 30_000;
@@ -40,6 +43,8 @@
 
 	private int samples;
 
+	private boolean probation;
+
 	UpstreamHealth(Upstream upstream) {
 		this.upstream = upstream;
 	}
@@ -56,8 +61,11 @@
 		this.inFlight = Math.max(this.inFlight - 1, 0);
 	}
 
-	void onSuccess(double cost, long millis) {
+	void onSuccess() {
 		this.failuresInRow = 0;
+	}
+
+	void onSample(double cost, long millis) {
 		double normal = millis / Math.max(cost, 1);
 		this.latencyMs = (this.samples == 0) ? normal : this.latencyMs + EWMA_WEIGHT * (normal - this.latencyMs);
 		this.samples++;
@@ -76,12 +84,14 @@
 		this.ejectedUntilMs = nowMs + this.ejectionMs;
 		this.ejectionMs = Math.min(this.ejectionMs * 2, LONGEST_EJECTION_MS);
 		this.samples = 0;
+		this.probation = true;
 		// One more failure after the ejection ends ejects again; a success clears the
 		// count.
 		this.failuresInRow = FAILURES_TO_EJECT - 1;
 	}
 
 	void onProven() {
+		this.probation = false;
 		this.ejectionMs = FIRST_EJECTION_MS;
 	}
 
@@ -95,6 +105,20 @@
 		return nowMs < this.ejectedUntilMs;
 	}
 
+	/**
+	 * Return whether a new call may go there now: while it has to prove itself after an
+	 * ejection, one at a time.
+	 * @param nowMs the monotonic clock now
+	 * @return true if it may
+	 */
+	boolean usable(long nowMs) {
+		return !ejected(nowMs) && !(this.probation && this.inFlight > 0);
+	}
+
+	int samplesToJudge() {
+		return this.probation ? 1 : SAMPLES_TO_COMPARE;
+	}
+
 	double latencyMs() {
 		return this.latencyMs;
 	}
--- a/core/src/main/java/org/tallycart/core/routing/UpstreamTable.java
+++ b/core/src/main/java/org/tallycart/core/routing/UpstreamTable.java
@@ -24,8 +24,6 @@
  */
 public final class UpstreamTable {
 
-	private static final int SAMPLES_TO_COMPARE = 5;
-
 	private static final double SLOWER_THAN_PEERS = 3;
 
 	private static final double MIN_GAP_MS = 20;
@@ -125,7 +123,7 @@
 			if (known == null || tried.contains(id) || this.leaving.contains(id)) {
 				continue;
 			}
-			(known.ejected(nowMs) ? ejected : usable).add(known.candidate(nowMs, this.domain));
+			(known.usable(nowMs) ? usable : ejected).add(known.candidate(nowMs, this.domain));
 		}
 		return usable.isEmpty() ? ejected : usable;
 	}
@@ -157,12 +155,33 @@
 			return false;
 		}
 		known.onEnd();
-		known.onSuccess(work, millis);
+		known.onSuccess();
+		known.onSample(work, millis);
+		return ejectIfSlow(serviceId, known, nowMs);
+	}
+
+	/**
+	 * Record that a call was given up because it took too long: its latency is at least
+	 * the time it had.
+	 * @param serviceId the service
+	 * @param upstreamId the upstream
+	 * @param work what the latency is to be divided by before upstreams are compared
+	 * @param millis how long it had
+	 * @param nowMs the monotonic clock now
+	 * @return whether the upstream was ejected for being slower than its peers
+	 */
+	public synchronized boolean onTooSlow(String serviceId, String upstreamId, double work, long millis, long nowMs) {
+		UpstreamHealth known = this.health.get(upstreamId);
+		if (known == null) {
+			return false;
+		}
+		known.onEnd();
+		known.onSample(work, millis);
 		return ejectIfSlow(serviceId, known, nowMs);
 	}
 
 	private boolean ejectIfSlow(String serviceId, UpstreamHealth known, long nowMs) {
-		if (known.samples() < SAMPLES_TO_COMPARE) {
+		if (known.samples() < known.samplesToJudge()) {
 			return false;
 		}
 		List<UpstreamHealth> peers = this.services.getOrDefault(serviceId, List.of())
@@ -171,7 +190,7 @@
 			.filter((peer) -> peer != null && peer != known)
 			.toList();
 		List<Double> latencies = peers.stream()
-			.filter((peer) -> peer.samples() >= SAMPLES_TO_COMPARE)
+			.filter((peer) -> peer.samples() >= UpstreamHealth.SAMPLES_TO_COMPARE)
 			.map(UpstreamHealth::latencyMs)
 			.sorted()
 			.toList();
--- a/core/src/test/java/org/tallycart/core/routing/RoutingTests.java
+++ b/core/src/test/java/org/tallycart/core/routing/RoutingTests.java
@@ -60,6 +60,43 @@
 		assertEquals(table.candidates("encode", Set.of(), 60_000).size(), 4);
 	}
 
+	@Test
+	void anEjectedUpstreamProvesItselfByOneCallAtATime() {
+		UpstreamTable table = table(4);
+		for (int i = 0; i < 10; i++) {
+			for (int worker = 0; worker < 4; worker++) {
+				table.onStart("u" + worker);
+				table.onSuccess("encode", "u" + worker, 1, (worker == 2) ? 500 : 50, 0);
+			}
+		}
+		long later = 60_000;
+		table.onStart("u2");
+		assertEquals(table.candidates("encode", Set.of(), later).size(), 3, "a probe is in flight");
+		assertTrue(table.onSuccess("encode", "u2", 1, 500, later), "one slow probe ejects again");
+		later += 60_000;
+		table.onStart("u2");
+		assertFalse(table.onSuccess("encode", "u2", 1, 50, later));
+		table.onStart("u2");
+		assertEquals(table.candidates("encode", Set.of(), later).size(), 4, "proven");
+	}
+
+	@Test
+	void anUpstreamWhoseCallsNeverEndInTimeIsEjectedToo() {
+		UpstreamTable table = table(4);
+		for (int i = 0; i < 6; i++) {
+			for (int worker = 0; worker < 4; worker++) {
+				table.onStart("u" + worker);
+				if (worker == 2) {
+					table.onTooSlow("encode", "u2", 1, 500, 1_000);
+				}
+				else {
+					table.onSuccess("encode", "u" + worker, 1, 50, 1_000);
+				}
+			}
+		}
+		assertEquals(table.candidates("encode", Set.of(), 1_000).size(), 3);
+	}
+
 	@Test
 	void ejectionNeverEmptiesAPool() {
 		UpstreamTable table = table(2);
@@ -83,13 +120,26 @@
 	@Test
 	void anOldReportLosesWeightAgainstOwnCalls() {
 		Upstream upstream = service(1).upstreams().get(0);
-		TwoChoicesBalancer balancer = TwoChoicesBalancer.aged(1_000);
-		double fresh = balancer.score(new Candidate(upstream, 1, 8, 0, 0, true, 0));
-		double old = balancer.score(new Candidate(upstream, 1, 8, 0, 5_000, true, 0));
-		double idle = balancer.score(new Candidate(upstream, 0, 0, 0, -1, true, 0));
+		LoadScore score = new LoadScore(1_000);
+		double fresh = score.of(new Candidate(upstream, 1, 8, 0, 0, true, 0));
+		double old = score.of(new Candidate(upstream, 1, 8, 0, 5_000, true, 0));
+		double idle = score.of(new Candidate(upstream, 0, 0, 0, -1, true, 0));
 		assertTrue(fresh > old && old > idle);
 	}
 
+	@Test
+	void theLeastLoadedOfAllIsChosen() {
+		List<Candidate> candidates = new ArrayList<>();
+		for (Upstream upstream : service(5).upstreams()) {
+			int load = upstream.id().equals("u3") ? 1 : 4;
+			candidates.add(new Candidate(upstream, load, 0, 0, -1, true, 0));
+		}
+		Random random = new Random(1);
+		for (int i = 0; i < 20; i++) {
+			assertEquals(LeastLoadBalancer.aged(1_000).choose(candidates, random::nextInt).upstream().id(), "u3");
+		}
+	}
+
 	@Test
 	void extraAttemptsStayWithinTheirShareOfFirstAttempts() {
 		RetryBudget budget = RetryBudget.create(0.1, 5, 20);
@@ -140,6 +190,18 @@
 		assertEquals(queue.poll().orElseThrow().payload(), "quiet");
 	}
 
+	@Test
+	void aQuietWorkspaceIsNotBehindAFloodingOne() {
+		StageQueue<String> queue = StageQueue.create(100, 1);
+		for (int i = 0; i < 50; i++) {
+			queue.offer(work("flood" + i, "flood", 1, 0));
+		}
+		assertTrue(queue.aheadOf("quiet", 0) <= 1, "ahead: " + queue.aheadOf("quiet", 0));
+		assertEquals(queue.aheadOf("flood", 0), 50);
+		assertEquals(queue.aheadOf("quiet", -1), 50);
+		assertEquals(queue.aheadOf("flood", 1), 0);
+	}
+
 	@Test
 	void workspacesShareByWeight() {
 		StageQueue<String> queue = StageQueue.create(1_000, 1);
--- a/entry/src/main/java/org/tallycart/entry/stage/AttemptFailure.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/AttemptFailure.java
@@ -14,6 +14,12 @@
  */
 record AttemptFailure(AttemptState state, Reason reason, String message, boolean blame) {
 
+	private static final String TOO_SLOW = "too slow to end in time";
+
+	boolean slow() {
+		return this.reason == Reason.DEADLINE || this.message.equals(TOO_SLOW);
+	}
+
 	static AttemptFailure notBegun(String message) {
 		return new AttemptFailure(AttemptState.ABANDONED, Reason.CONNECTION_LOST, message, true);
 	}
@@ -34,6 +40,10 @@
 		return new AttemptFailure(AttemptState.ABANDONED, Reason.CONNECTION_LOST, "the attempt was given up", false);
 	}
 
+	static AttemptFailure tooSlow() {
+		return new AttemptFailure(AttemptState.ABANDONED, Reason.UPSTREAM_ERROR, TOO_SLOW, false);
+	}
+
 	static AttemptFailure ofDeadline() {
 		return new AttemptFailure(AttemptState.ABANDONED, Reason.DEADLINE, "the deadline is past", false);
 	}
--- a/entry/src/main/java/org/tallycart/entry/stage/CallStage.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/CallStage.java
@@ -199,8 +199,9 @@
 			return;
 		}
 		if (call.cancelled() && outcome.getLeft().state() == AttemptState.ABANDONED) {
-			// Another attempt was faster: this one took at least so long.
-			this.tools.routing().succeeded(this.service, call.upstream(), 1, millis);
+			// Another attempt was faster, or the deadline came: this one took at least so
+			// long.
+			this.tools.routing().tooSlow(this.service, call.upstream(), 1, millis);
 			return;
 		}
 		if (outcome.getLeft().message().equals(UpstreamCall.LEAVING)) {
--- a/entry/src/main/java/org/tallycart/entry/stage/GenerateStage.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/GenerateStage.java
@@ -141,6 +141,10 @@
 		if (failure.message().equals(UpstreamCall.LEAVING)) {
 			this.tools.routing().leaving(call.upstream().id());
 		}
+		if (failure.slow()) {
+			this.tools.routing().tooSlow(this.service, call.upstream(), Math.max(this.tokensOfAttempt, 1), millis);
+			return outcome;
+		}
 		this.tools.routing().failed(call.upstream(), failure.blame(), failure.message());
 		return outcome;
 	}
@@ -189,6 +193,12 @@
 					firstMs = Clocks.SYSTEM.monotonicMs() - beganMs;
 					this.tools.times().addCall(this.service, firstMs);
 				}
+				long streaming = Clocks.SYSTEM.monotonicMs() - beganMs - firstMs;
+				if (this.tools.times()
+					.betterElsewhere(this.service, this.tokensOfAttempt, streaming, this.data.maxTokens() - this.tokens,
+							this.context.remainingMs())) {
+					return Either.left(AttemptFailure.tooSlow());
+				}
 			}
 		}
 	}
--- a/entry/src/main/java/org/tallycart/entry/stage/Routing.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/Routing.java
@@ -17,6 +17,7 @@
 import org.tallycart.core.routing.Balancer;
 import org.tallycart.core.routing.Candidate;
 import org.tallycart.core.routing.LeastInFlightBalancer;
+import org.tallycart.core.routing.LeastLoadBalancer;
 import org.tallycart.core.routing.RoundRobinBalancer;
 import org.tallycart.core.routing.TwoChoicesBalancer;
 import org.tallycart.core.routing.UpstreamTable;
@@ -47,6 +48,7 @@
 		this.table = table;
 		this.events = events;
 		this.onLeaving = onLeaving;
+		this.balancers.put(BalancerKind.LEAST_LOAD_AGED, LeastLoadBalancer.aged(REPORT_HALF_LIFE_MS));
 		this.balancers.put(BalancerKind.TWO_CHOICES_AGED, TwoChoicesBalancer.aged(REPORT_HALF_LIFE_MS));
 		this.balancers.put(BalancerKind.TWO_CHOICES, TwoChoicesBalancer.withoutAge());
 		this.balancers.put(BalancerKind.LEAST_IN_FLIGHT, new LeastInFlightBalancer());
@@ -104,6 +106,12 @@
 		}
 	}
 
+	void tooSlow(Service service, Upstream upstream, double work, long millis) {
+		if (this.table.onTooSlow(service.id(), upstream.id(), work, millis, Clocks.SYSTEM.monotonicMs())) {
+			this.events.emit(EventCode.UPSTREAM_EJECTED, upstream.id() + " is slower than its peers");
+		}
+	}
+
 	void failed(Upstream upstream, boolean blame, String why) {
 		if (this.table.onFailure(upstream.id(), blame, Clocks.SYSTEM.monotonicMs())) {
 			this.events.emit(EventCode.UPSTREAM_EJECTED, upstream.id() + " " + why);
--- a/entry/src/main/java/org/tallycart/entry/stage/StageGate.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/StageGate.java
@@ -77,13 +77,14 @@
 
 	/**
 	 * Describe the load a request would meet.
+	 * @param workspace the request's workspace
 	 * @param priority the request's priority
 	 * @param expectedMs how long one call can be expected to take
 	 * @param limit calls this VM may have in flight
 	 * @return the load
 	 */
-	synchronized LoadFacts load(long priority, long expectedMs, int limit) {
-		int ahead = this.queue.aheadOf(priority);
+	synchronized LoadFacts load(String workspace, long priority, long expectedMs, int limit) {
+		int ahead = this.queue.aheadOf(workspace, priority);
 		boolean free = this.queue.inFlightCount() < limit && ahead == 0;
 		long waitMs = free ? 0 : (ahead + 1) * expectedMs / Math.max(limit, 1);
 		return new LoadFacts(this.service, this.queue.waitingCount(), this.queue.inFlightCount(), limit, waitMs);
--- a/entry/src/main/java/org/tallycart/entry/stage/StageRunner.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/StageRunner.java
@@ -61,7 +61,8 @@
 		long expected = 0;
 		for (Service service : services(context)) {
 			long own = this.tools.times().expectedMs(service, context.request().maxTokens());
-			LoadFacts load = gate(service).load(context.priority(), own, limit(context, service));
+			LoadFacts load = gate(service).load(context.request().workspace(), context.priority(), own,
+					limit(context, service));
 			expected += own + load.waitMs();
 			if (context.policy().shed(context.facts(), load)) {
 				return Either.left(new Ending(Outcome.NOT_RUN, Reason.SHED, "shed at " + service.id(),
--- a/entry/src/main/java/org/tallycart/entry/stage/StageTimes.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/StageTimes.java
@@ -20,10 +20,16 @@
 
 	private static final double MEDIAN = 0.5;
 
+	private static final double EXPECTED = 0.75;
+
 	private static final double SLOW = 0.95;
 
 	private static final int SAMPLES_TO_TRUST = 20;
 
+	private static final int TOKENS_TO_JUDGE = 4;
+
+	private static final double STRAGGLER = 3;
+
 	private static final long MICROS = 1000;
 
 	private static final long STALL_MS = 2_000;
@@ -47,17 +53,17 @@
 	}
 
 	/**
-	 * Return how long a call can be expected to take.
+	 * Return how long a call can be expected to take: three of four take less.
 	 * @param service the service
 	 * @param maxTokens tokens the call may generate
 	 * @return milliseconds; 0 while nothing is known
 	 */
 	public long expectedMs(Service service, int maxTokens) {
-		long call = window(this.calls, service).quantile(MEDIAN, 0);
+		long call = window(this.calls, service).quantile(EXPECTED, 0);
 		if (service.kind() != StageKind.GENERATE) {
 			return call;
 		}
-		return call + window(this.tokenMicros, service).quantile(MEDIAN, 0) * maxTokens / MICROS;
+		return call + window(this.tokenMicros, service).quantile(EXPECTED, 0) * maxTokens / MICROS;
 	}
 
 	/**
@@ -83,4 +89,24 @@
 		return (slow != Long.MAX_VALUE) ? Math.max(STALL_MS, slow) : 2 * STALL_MS;
 	}
 
+	/**
+	 * Return whether a stream is so slow that it will miss its deadline, while another
+	 * upstream could still make it.
+	 * @param service the service
+	 * @param tokens tokens that have come
+	 * @param elapsedMs time since the first of them
+	 * @param tokensLeft tokens still to come
+	 * @param remainingMs time left to the deadline
+	 * @return true if the rest is better asked for elsewhere
+	 */
+	boolean betterElsewhere(Service service, int tokens, long elapsedMs, int tokensLeft, long remainingMs) {
+		long usualMicros = window(this.tokenMicros, service).quantile(MEDIAN, 0);
+		if (tokens < TOKENS_TO_JUDGE || usualMicros == 0) {
+			return false;
+		}
+		double ownMicros = (double) elapsedMs * MICROS / tokens;
+		boolean misses = ownMicros * tokensLeft / MICROS > remainingMs;
+		return misses && ownMicros > STRAGGLER * usualMicros && expectedMs(service, tokensLeft) < remainingMs;
+	}
+
 }
--- a/integration-tests/src/test/java/org/tallycart/integration/AnswerIntegrityTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/AnswerIntegrityTests.java
@@ -1,16 +1,12 @@
 package org.tallycart.integration;
 
-import java.io.IOException;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import org.tallycart.load.LoadReport;
 import org.tallycart.standin.FaultProxy;
 import org.tallycart.testbed.FleetShape;
-import org.tallycart.testbed.LocalFleet;
+import org.tallycart.testbed.ProcessHttp;
 import org.tallycart.testbed.Waiting;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -20,27 +16,18 @@
 /**
  * Every answer is whole and its own, whatever the upstreams and the network do.
  */
-public class AnswerIntegrityTests {
+public class AnswerIntegrityTests extends AbstractFleetTests {
 
 	private static final String NO_FAULT = "{\"truncate_percent\":0,\"foreign_percent\":0,\"fail_percent\":0,\"slow_factor\":1}";
 
-	private LocalFleet fleet;
-
-	@BeforeClass
-	void start() throws IOException {
-		this.fleet = LocalFleet.start(FleetShape.bogota(2).withUpstreamProxies());
-	}
-
-	@AfterClass(alwaysRun = true)
-	void stop() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+	@Override
+	FleetShape shape() {
+		return FleetShape.bogota(2).withUpstreamProxies();
 	}
 
 	@AfterMethod
 	void mend() {
-		this.fleet.upstreamFault((id) -> true, NO_FAULT);
+		fleet().upstreamFault((id) -> true, NO_FAULT);
 	}
 
 	@DataProvider
@@ -52,8 +39,8 @@
 
 	@Test(dataProvider = "faults")
 	void noAnswerIsShortOrAnothers(String prefix, String fault, double leastWhole) {
-		this.fleet.upstreamFault((id) -> id.startsWith(prefix), fault);
-		LoadReport report = LoadBehind.start(this.fleet, 30, 3_000, LoadBehind.questions(), LoadBehind.wholeQuestions())
+		fleet().upstreamFault((id) -> id.startsWith(prefix), fault);
+		LoadReport report = LoadBehind.start(fleet(), 30, 3_000, LoadBehind.questions(), LoadBehind.wholeQuestions())
 			.await();
 		assertEquals(report.violations(), java.util.List.of());
 		assertEquals(report.count("NONE"), 0, report.text());
@@ -62,10 +49,10 @@
 
 	@Test
 	void connectionsThatAreCutInMidStreamLoseAndRepeatNothing() {
-		LoadBehind load = LoadBehind.start(this.fleet, 30, 4_000, LoadBehind.questions());
+		LoadBehind load = LoadBehind.start(fleet(), 30, 4_000, LoadBehind.questions());
 		for (int i = 0; i < 12; i++) {
 			Waiting.pause(250);
-			this.fleet.proxy("generate-" + (1 + i % 8)).cut();
+			fleet().proxy("generate-" + (1 + i % 8)).cut();
 		}
 		LoadReport report = load.await();
 		assertEquals(report.violations(), java.util.List.of());
@@ -75,9 +62,9 @@
 
 	@Test
 	void anUpstreamThatAcceptsAndNeverAnswersCostsFewRequests() {
-		FaultProxy proxy = this.fleet.proxy("encode-2");
+		FaultProxy proxy = fleet().proxy("encode-2");
 		proxy.towardsCaller().drop(true);
-		LoadReport report = LoadBehind.start(this.fleet, 30, 4_000, LoadBehind.wholeQuestions()).await();
+		LoadReport report = LoadBehind.start(fleet(), 30, 4_000, LoadBehind.wholeQuestions()).await();
 		proxy.towardsCaller().drop(false);
 		proxy.cut();
 		assertEquals(report.violations(), java.util.List.of());
@@ -86,8 +73,8 @@
 
 	private long events(String name) {
 		long count = 0;
-		for (int i = 0; i < this.fleet.size(); i++) {
-			for (JsonNode event : LocalFleet.get(this.fleet.vm(i).entry().address("status"), "/events")) {
+		for (int i = 0; i < fleet().size(); i++) {
+			for (JsonNode event : ProcessHttp.get(fleet().vm(i).entry().address("status"), "/events")) {
 				count += event.path("name").asText().equals(name) ? 1 : 0;
 			}
 		}
--- a/integration-tests/src/test/java/org/tallycart/integration/AtMostOnceTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/AtMostOnceTests.java
@@ -6,11 +6,8 @@
 
 import org.tallycart.load.LoadReport;
 import org.tallycart.testbed.FleetShape;
-import org.tallycart.testbed.LocalFleet;
 import org.tallycart.testbed.ServiceShape;
 import org.tallycart.testbed.Waiting;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -21,16 +18,14 @@
  * though its caller asks again through other VMs while processes die, freeze, drain and
  * are cut off. Runs are counted at the plain service.
  */
-public class AtMostOnceTests {
+public class AtMostOnceTests extends AbstractFleetTests {
 
 	private static final String OUTAGE = "{\"outage\":true}";
 
 	private static final String NO_OUTAGE = "{\"outage\":false}";
 
-	private LocalFleet fleet;
-
-	@BeforeClass
-	void start() throws IOException {
+	@Override
+	FleetShape shape() {
 		// Slow enough that some confirmations are always in flight when a fault comes.
 		ServiceShape dispatch = new ServiceShape("dispatch", "plain", 4, 8, 400, 0, 1, 0);
 		List<ServiceShape> services = FleetShape.bogota(4)
@@ -38,14 +33,7 @@
 			.stream()
 			.map((service) -> service.id().equals("dispatch") ? dispatch : service)
 			.toList();
-		this.fleet = LocalFleet.start(FleetShape.bogota(4).withServices(services).withUpstreamProxies());
-	}
-
-	@AfterClass(alwaysRun = true)
-	void stop() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+		return FleetShape.bogota(4).withServices(services).withUpstreamProxies();
 	}
 
 	@DataProvider
@@ -63,11 +51,11 @@
 
 	@Test(dataProvider = "faults")
 	void nothingRunsTwiceAndNotRunIsTrue(Named fault, double leastWhole) throws IOException {
-		LoadBehind load = LoadBehind.start(this.fleet, 40, 5_000, LoadBehind.confirmations());
+		LoadBehind load = LoadBehind.start(fleet(), 40, 5_000, LoadBehind.confirmations());
 		Waiting.pause(1_000);
 		fault.action.run();
 		LoadReport report = load.await();
-		Map<String, Integer> runs = this.fleet.runsByMarker();
+		Map<String, Integer> runs = fleet().runsByMarker();
 		for (Map.Entry<String, String> told : report.lastOutcomes().entrySet()) {
 			int ran = runs.getOrDefault(told.getKey(), 0);
 			assertTrue(ran <= 1, told.getKey() + " ran " + ran + " times");
@@ -84,73 +72,73 @@
 	}
 
 	private void killEntry() throws IOException {
-		this.fleet.vm(0).entry().kill();
+		fleet().vm(0).entry().kill();
 		Waiting.pause(300);
-		this.fleet.vm(0).balancer(false);
-		this.fleet.restartEntry(0);
+		fleet().vm(0).balancer(false);
+		fleet().restartEntry(0);
 	}
 
 	private void killSteward() throws IOException {
-		this.fleet.vm(1).steward().kill();
+		fleet().vm(1).steward().kill();
 		Waiting.pause(500);
-		this.fleet.restartSteward(1);
+		fleet().restartSteward(1);
 	}
 
 	private void freezeEntry() {
-		this.fleet.vm(0).entry().freeze();
+		fleet().vm(0).entry().freeze();
 		Waiting.pause(300);
-		this.fleet.vm(0).balancer(false);
+		fleet().vm(0).balancer(false);
 		Waiting.pause(2_500);
-		this.fleet.vm(0).entry().wake();
-		this.fleet.vm(0).balancer(true);
+		fleet().vm(0).entry().wake();
+		fleet().vm(0).balancer(true);
 	}
 
 	private void freezeSteward() {
-		this.fleet.vm(1).steward().freeze();
+		fleet().vm(1).steward().freeze();
 		Waiting.pause(2_000);
-		this.fleet.vm(1).steward().wake();
+		fleet().vm(1).steward().wake();
 	}
 
 	private void outageAndKill() throws IOException {
-		this.fleet.platformFault(OUTAGE);
+		fleet().platformFault(OUTAGE);
 		Waiting.pause(500);
-		this.fleet.vm(1).steward().kill();
-		this.fleet.restartSteward(1);
+		fleet().vm(1).steward().kill();
+		fleet().restartSteward(1);
 		Waiting.pause(1_500);
-		this.fleet.platformFault(NO_OUTAGE);
+		fleet().platformFault(NO_OUTAGE);
 	}
 
 	private void killDuringHandover() throws IOException {
-		this.fleet.platformFault("{\"delay_ms\":150}");
-		this.fleet.vm(2).steward().requestStop();
+		fleet().platformFault("{\"delay_ms\":150}");
+		fleet().vm(2).steward().requestStop();
 		Waiting.pause(200);
-		this.fleet.vm(2).steward().kill();
-		this.fleet.platformFault("{\"delay_ms\":0}");
-		this.fleet.restartSteward(2);
+		fleet().vm(2).steward().kill();
+		fleet().platformFault("{\"delay_ms\":0}");
+		fleet().restartSteward(2);
 	}
 
 	private void replaceVm() {
-		this.fleet.platformFault("{\"vm_list_lag_ms\":{\"vm-1\":1500,\"vm-2\":700}}");
-		this.fleet.vm(3).balancer(false);
-		this.fleet.vm(3).entry().kill();
-		this.fleet.vm(3).steward().kill();
-		this.fleet.vm(3).listed(false);
-		this.fleet.publishVms();
+		fleet().platformFault("{\"vm_list_lag_ms\":{\"vm-1\":1500,\"vm-2\":700}}");
+		fleet().vm(3).balancer(false);
+		fleet().vm(3).entry().kill();
+		fleet().vm(3).steward().kill();
+		fleet().vm(3).listed(false);
+		fleet().publishVms();
 	}
 
 	private void freezeDuringDrain() throws IOException {
-		this.fleet.vm(2).steward().requestStop();
+		fleet().vm(2).steward().requestStop();
 		Waiting.pause(30);
-		this.fleet.vm(2).steward().freeze();
+		fleet().vm(2).steward().freeze();
 		Waiting.pause(1_500);
-		this.fleet.vm(2).steward().wake();
-		this.fleet.vm(2).steward().awaitEnd();
-		this.fleet.restartSteward(2);
+		fleet().vm(2).steward().wake();
+		fleet().vm(2).steward().awaitEnd();
+		fleet().restartSteward(2);
 	}
 
 	private void cutUpstreams() {
 		for (int i = 0; i < 5; i++) {
-			this.fleet.proxy("dispatch-" + (1 + i % 4)).cut();
+			fleet().proxy("dispatch-" + (1 + i % 4)).cut();
 			Waiting.pause(400);
 		}
 	}
--- a/integration-tests/src/test/java/org/tallycart/integration/ConfigurationTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/ConfigurationTests.java
@@ -12,10 +12,8 @@
 import org.tallycart.ctl.TallyctlMain;
 import org.tallycart.runtime.process.ExitCode;
 import org.tallycart.testbed.FleetShape;
-import org.tallycart.testbed.LocalFleet;
+import org.tallycart.testbed.ProcessHttp;
 import org.tallycart.testbed.Waiting;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -25,34 +23,24 @@
 /**
  * An accepted configuration is in force everywhere within seconds and never reverts.
  */
-public class ConfigurationTests {
+public class ConfigurationTests extends AbstractFleetTests {
 
 	private static final long SECONDS_MS = 11_000;
 
-	private LocalFleet fleet;
-
-	@BeforeClass
-	void start() throws IOException {
-		this.fleet = LocalFleet.start(FleetShape.bogota(3).withPlatformProxies());
-	}
-
-	@AfterClass(alwaysRun = true)
-	void stop() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+	@Override
+	FleetShape shape() {
+		return FleetShape.bogota(3).withPlatformProxies();
 	}
 
 	private Path checkout(String extra) throws IOException {
-		Path directory = Files.createTempDirectory(this.fleet.directory(), "operator-");
-		Files.writeString(directory.resolve("all.ini"), this.fleet.declarations() + extra);
-		Files.copy(this.fleet.directory().resolve("declarations/.tallycart-base"),
-				directory.resolve(".tallycart-base"));
+		Path directory = Files.createTempDirectory(fleet().directory(), "operator-");
+		Files.writeString(directory.resolve("all.ini"), fleet().declarations() + extra);
+		Files.copy(fleet().directory().resolve("declarations/.tallycart-base"), directory.resolve(".tallycart-base"));
 		return directory;
 	}
 
 	private int apply(Path directory, String author) {
-		return TallyctlMain.execute("apply", "--platform", this.fleet.platform().toString(), "--author", author,
+		return TallyctlMain.execute("apply", "--platform", fleet().platform().toString(), "--author", author,
 				directory.toString());
 	}
 
@@ -61,16 +49,16 @@
 	}
 
 	private JsonNode status(int vm, String program) {
-		Address address = program.equals("entry") ? this.fleet.vm(vm).entry().address("status")
-				: this.fleet.vm(vm).steward().address("status");
-		return LocalFleet.get(address, "/status");
+		Address address = program.equals("entry") ? fleet().vm(vm).entry().address("status")
+				: fleet().vm(vm).steward().address("status");
+		return ProcessHttp.get(address, "/status");
 	}
 
 	private long awaitInForce(long version) {
 		long beganMs = System.currentTimeMillis();
 		Waiting.until("version " + version + " is in force in every entry", SECONDS_MS, () -> {
 			boolean all = true;
-			for (int i = 0; i < this.fleet.size(); i++) {
+			for (int i = 0; i < fleet().size(); i++) {
 				all &= status(i, "entry").path("config_version").asLong() >= version;
 			}
 			return all;
@@ -81,7 +69,7 @@
 	private void awaitEveryStewardAt(long version) {
 		Waiting.until("every steward is at version " + version, SECONDS_MS, () -> {
 			boolean all = true;
-			for (int i = 0; i < this.fleet.size(); i++) {
+			for (int i = 0; i < fleet().size(); i++) {
 				all &= status(i, "steward").path("config_version").asLong() >= version;
 			}
 			return all;
@@ -127,9 +115,9 @@
 	@Test
 	void aLostAnswerIsResolvedToAccepted() throws IOException {
 		long before = headVersionAfterApply();
-		this.fleet.platformFault("{\"lose_answers\":4}");
+		fleet().platformFault("{\"lose_answers\":4}");
 		assertEquals(apply(checkout("\n[workspace lost-answer]\n"), "ana"), ExitCode.OK);
-		this.fleet.platformFault("{\"lose_answers\":0}");
+		fleet().platformFault("{\"lose_answers\":0}");
 		awaitInForce(before + 1);
 	}
 
@@ -149,25 +137,25 @@
 	@Test(priority = 1)
 	void duringAnOutageNothingIsAcceptedAndNothingReverts() throws IOException {
 		long before = headVersionAfterApply();
-		this.fleet.platformFault("{\"outage\":true}");
+		fleet().platformFault("{\"outage\":true}");
 		assertEquals(apply(checkout("\n[workspace outage]\n"), "ana"), ExitCode.FAILED);
-		this.fleet.vm(2).steward().kill();
-		this.fleet.vm(2).entry().kill();
-		this.fleet.restartSteward(2);
-		this.fleet.restartEntry(2);
+		fleet().vm(2).steward().kill();
+		fleet().vm(2).entry().kill();
+		fleet().restartSteward(2);
+		fleet().restartEntry(2);
 		awaitEveryStewardAt(before);
 		assertEquals(status(2, "entry").path("config_version").asLong(), before,
 				"a new VM in an outage asks its peers");
-		this.fleet.platformFault("{\"outage\":false}");
+		fleet().platformFault("{\"outage\":false}");
 	}
 
 	@Test(priority = 1)
 	void aFrozenStewardThatWakesCatchesUp() throws IOException {
 		long before = headVersionAfterApply();
-		this.fleet.vm(1).steward().freeze();
+		fleet().vm(1).steward().freeze();
 		assertEquals(apply(checkout("\n[workspace frozen]\n"), "ana"), ExitCode.OK);
 		Waiting.pause(2_000);
-		this.fleet.vm(1).steward().wake();
+		fleet().vm(1).steward().wake();
 		long millis = awaitInForce(before + 1);
 		System.out.println("in force at the woken VM after " + millis + " ms");
 	}
@@ -175,23 +163,23 @@
 	@Test(priority = 2)
 	void aPlatformThatServesOldReadsRevertsNothing() {
 		long before = headVersionAfterApply();
-		this.fleet.platformFault("{\"old_reads\":true}");
+		fleet().platformFault("{\"old_reads\":true}");
 		for (int i = 0; i < 5; i++) {
 			Waiting.pause(300);
 			assertTrue(headVersion() >= before);
 		}
-		this.fleet.platformFault("{\"old_reads\":false}");
+		fleet().platformFault("{\"old_reads\":false}");
 	}
 
 	@Test(priority = 3)
 	void aVmCutOffFromThePlatformHearsFromItsPeers() throws IOException {
 		long before = headVersionAfterApply();
-		this.fleet.proxy("platform-vm-3").refuse(true);
-		this.fleet.proxy("platform-vm-3").cut();
+		fleet().proxy("platform-vm-3").refuse(true);
+		fleet().proxy("platform-vm-3").cut();
 		assertEquals(apply(checkout("\n[workspace cut-off]\n"), "ana"), ExitCode.OK);
 		long millis = awaitInForce(before + 1);
 		System.out.println("in force at the VM cut off after " + millis + " ms");
-		this.fleet.proxy("platform-vm-3").refuse(false);
+		fleet().proxy("platform-vm-3").refuse(false);
 	}
 
 }
--- a/integration-tests/src/test/java/org/tallycart/integration/LeavingUpstreamTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/LeavingUpstreamTests.java
@@ -1,14 +1,9 @@
 package org.tallycart.integration;
 
-import java.io.IOException;
-
 import org.tallycart.core.membership.VmState;
 import org.tallycart.load.LoadReport;
 import org.tallycart.testbed.FleetShape;
-import org.tallycart.testbed.LocalFleet;
 import org.tallycart.testbed.Waiting;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -18,22 +13,13 @@
  * An upstream that is leaving receives no new work after a few seconds, by whichever path
  * the news comes.
  */
-public class LeavingUpstreamTests {
+public class LeavingUpstreamTests extends AbstractFleetTests {
 
 	private static final long A_FEW_SECONDS_MS = 5_000;
 
-	private LocalFleet fleet;
-
-	@BeforeClass
-	void start() throws IOException {
-		this.fleet = LocalFleet.start(FleetShape.bogota(3));
-	}
-
-	@AfterClass(alwaysRun = true)
-	void stop() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+	@Override
+	FleetShape shape() {
+		return FleetShape.bogota(3);
 	}
 
 	@DataProvider
@@ -44,19 +30,19 @@
 
 	@Test(dataProvider = "paths")
 	void noNewWorkArrivesAfterAFewSeconds(String upstream, String path) {
-		LoadBehind load = LoadBehind.start(this.fleet, 40, 8_000, LoadBehind.questions());
+		LoadBehind load = LoadBehind.start(fleet(), 40, 8_000, LoadBehind.questions());
 		Waiting.pause(1_000);
 		long leftMs = System.currentTimeMillis();
 		if (path.equals("answer")) {
-			this.fleet.upstreamFault(upstream::equals, "{\"leaving\":true}");
+			fleet().upstreamFault(upstream::equals, "{\"leaving\":true}");
 		}
 		else {
 			String lag = path.equals("list") ? "0" : "1500";
-			this.fleet.platformFault("{\"vm_list_lag_ms\":{\"vm-1\":" + lag + ",\"vm-2\":" + lag + "}}");
-			this.fleet.upstreamState(upstream, VmState.LEAVING);
+			fleet().platformFault("{\"vm_list_lag_ms\":{\"vm-1\":" + lag + ",\"vm-2\":" + lag + "}}");
+			fleet().upstreamState(upstream, VmState.LEAVING);
 		}
 		LoadReport report = load.await();
-		long lastMs = this.fleet.runs(upstream).path("last_new_work_ms").asLong() - leftMs;
+		long lastMs = fleet().runs(upstream).path("last_new_work_ms").asLong() - leftMs;
 		System.out.println("leaving by " + path + ": last new work " + lastMs + " ms after the leave began");
 		assertTrue(lastMs < A_FEW_SECONDS_MS, "last new work after " + lastMs + " ms");
 		assertTrue(report.count("COMPLETE") == report.total(), report.text());
--- a/integration-tests/src/test/java/org/tallycart/integration/WholePathTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/WholePathTests.java
@@ -16,10 +16,8 @@
 import org.tallycart.load.CallerClient;
 import org.tallycart.load.Submission;
 import org.tallycart.testbed.FleetShape;
-import org.tallycart.testbed.LocalFleet;
+import org.tallycart.testbed.ProcessHttp;
 import org.tallycart.testbed.Waiting;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -29,22 +27,13 @@
 /**
  * Tests of the whole path with real processes.
  */
-public class WholePathTests {
+public class WholePathTests extends AbstractFleetTests {
 
 	private static final int REQUESTS = 200;
 
-	private LocalFleet fleet;
-
-	@BeforeClass
-	void start() throws IOException {
-		this.fleet = LocalFleet.start(FleetShape.bogota(3));
-	}
-
-	@AfterClass(alwaysRun = true)
-	void stop() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+	@Override
+	FleetShape shape() {
+		return FleetShape.bogota(3);
 	}
 
 	private static Submission request(int number) {
@@ -64,7 +53,7 @@
 	@Test
 	void everyOfManyConcurrentRequestsGetsItsOwnWholeAnswer() throws InterruptedException, ExecutionException {
 		ExecutorService callers = Executors.newFixedThreadPool(REQUESTS);
-		List<Address> entries = this.fleet.entries();
+		List<Address> entries = fleet().entries();
 		List<Future<CallerAnswer>> answers = new ArrayList<>();
 		for (int i = 0; i < REQUESTS; i++) {
 			int number = i;
@@ -81,14 +70,14 @@
 
 	@Test(priority = 1)
 	void anEntryServesOnWhenItsStewardIsDead() throws IOException {
-		this.fleet.vm(2).steward().kill();
-		Address entry = this.fleet.vm(2).entry().address("callers");
+		fleet().vm(2).steward().kill();
+		Address entry = fleet().vm(2).entry().address("callers");
 		CallerAnswer answer = CallerClient.submit(entry,
 				Submission.builder("assistant", "kennedy-central", "alone").build());
 		assertTrue(answer.whole(), answer.toString());
-		this.fleet.restartSteward(2);
+		fleet().restartSteward(2);
 		Waiting.until("the restarted steward owns slots again", 20_000,
-				() -> LocalFleet.get(this.fleet.vm(2).steward().address("status"), "/status")
+				() -> ProcessHttp.get(fleet().vm(2).steward().address("status"), "/status")
 					.path("open_slots")
 					.asInt() > 0);
 	}
@@ -103,16 +92,16 @@
 
 	@Test(dataProvider = "wrongRequests")
 	void aWrongRequestIsNotRunAndToldWhy(Submission submission, String reason) {
-		CallerAnswer answer = CallerClient.submit(this.fleet.entries().get(0), submission);
+		CallerAnswer answer = CallerClient.submit(fleet().entries().get(0), submission);
 		assertEquals(answer.outcome(), "NOT_RUN");
 		assertEquals(answer.reason(), reason);
 	}
 
 	@Test
 	void theTimeLineHoldsEachStageOfARequest() {
-		CallerAnswer answer = CallerClient.submit(this.fleet.entries().get(1),
+		CallerAnswer answer = CallerClient.submit(fleet().entries().get(1),
 				Submission.builder("assistant", "kennedy-central", "traced").build());
-		JsonNode events = LocalFleet.get(this.fleet.vm(1).entry().address("status"),
+		JsonNode events = ProcessHttp.get(fleet().vm(1).entry().address("status"),
 				"/events?request=" + answer.requestId());
 		List<String> names = new ArrayList<>();
 		events.forEach((event) -> names.add(event.path("name").asText()));
--- a/testbed/src/main/java/org/tallycart/testbed/Capacity.java
+++ b/testbed/src/main/java/org/tallycart/testbed/Capacity.java
@@ -20,7 +20,9 @@
 		description = "Measure the slopes of docs/CAPACITY.md: spread, cores, processes.")
 final class Capacity implements Callable<Integer> {
 
-	@Option(names = "--part", defaultValue = "all", description = "all, spread, cores or processes.")
+	private static final long MILLIS = 1_000;
+
+	@Option(names = "--part", defaultValue = "all", description = "all, spread, cores, stewards or entries.")
 	private String part = "all";
 
 	@Option(names = "--sizes", split = ",", defaultValue = "8,64,256,1000,2000",
@@ -34,6 +36,10 @@
 	@Option(names = "--loss-percent", defaultValue = "0", description = "Messages lost. Default: ${DEFAULT-VALUE}")
 	private int lossPercent;
 
+	@Option(names = "--settle-s", defaultValue = "60",
+			description = "Seconds before stewards at rest are measured. Default: ${DEFAULT-VALUE}")
+	private int settleS;
+
 	@Override
 	public Integer call() throws IOException {
 		if (wants("spread")) {
@@ -42,8 +48,11 @@
 		if (wants("cores")) {
 			CoreMeasurement.print(System.out);
 		}
-		if (wants("processes")) {
-			ProcessMeasurement.print(System.out);
+		if (wants("stewards")) {
+			ProcessMeasurement.stewards(System.out, this.settleS * MILLIS);
+		}
+		if (wants("entries")) {
+			ProcessMeasurement.entries(System.out);
 		}
 		return ExitCode.OK;
 	}
--- a/testbed/src/main/java/org/tallycart/testbed/Experiment.java
+++ b/testbed/src/main/java/org/tallycart/testbed/Experiment.java
@@ -32,9 +32,10 @@
 	private static final List<String> WORKSPACES = List.of("chapinero-norte", "fontibon-plaza", "kennedy-central",
 			"usaquen-mercado");
 
-	private static final String CHOSEN = "two-choices-aged";
+	private static final String CHOSEN = "least-load-aged";
 
-	private static final List<String> BALANCERS = List.of(CHOSEN, "two-choices", "least-in-flight", "round-robin");
+	private static final List<String> BALANCERS = List.of(CHOSEN, "two-choices-aged", "two-choices", "least-in-flight",
+			"round-robin");
 
 	private static final String MENDED = "{\"slow_factor\":1,\"fail_percent\":0,\"hang\":false,\"report_lag_ms\":0}";
 
@@ -85,8 +86,7 @@
 	}
 
 	private void turns(LocalFleet fleet, int size, Trial trial) throws IOException {
-		boolean compares = trial.name().startsWith("steady 90") || trial.name().startsWith("straggler")
-				|| trial.name().startsWith("lag");
+		boolean compares = trial.name().startsWith("steady 90") || trial.name().startsWith("lag");
 		for (String balancer : compares ? BALANCERS : List.of(CHOSEN)) {
 			run(fleet, size, trial, balancer, true);
 		}
--- a/testbed/src/main/java/org/tallycart/testbed/LocalFleet.java
+++ b/testbed/src/main/java/org/tallycart/testbed/LocalFleet.java
@@ -1,7 +1,6 @@
 package org.tallycart.testbed;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,15 +12,11 @@
 import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.membership.Vm;
 import org.tallycart.core.membership.VmList;
 import org.tallycart.core.membership.VmState;
 import org.tallycart.ctl.TallyctlMain;
-import org.tallycart.http.HttpCall;
-import org.tallycart.http.HttpConnection;
-import org.tallycart.http.HttpReply;
 import org.tallycart.standin.FaultProxy;
 
 /**
@@ -34,17 +29,13 @@
  */
 public final class LocalFleet implements AutoCloseable {
 
-	private static final ObjectMapper JSON = new ObjectMapper();
-
-	private static final long TIMEOUT_MS = 5_000;
-
 	private static final long START_MS = 60_000;
 
 	private static final String PLATFORM = "platform";
 
 	private final FleetShape shape;
 
-	private final Path directory;
+	private final FleetDirectory directory;
 
 	private final List<VmProcesses> vms = new ArrayList<>();
 
@@ -52,14 +43,12 @@
 
 	private final Map<String, VmState> upstreamStates = new HashMap<>();
 
-	private final Map<String, String> settings = new HashMap<>();
-
 	private final List<String> jvmOptions = new ArrayList<>();
 
 	private ManagedProcess standins;
 
 	@SuppressWarnings("NullAway.Init")
-	private LocalFleet(FleetShape shape, Path directory) {
+	private LocalFleet(FleetShape shape, FleetDirectory directory) {
 		this.shape = shape;
 		this.directory = directory;
 	}
@@ -95,8 +84,7 @@
 	 */
 	public static LocalFleet start(FleetShape shape, Map<String, String> settings, List<String> jvmOptions)
 			throws IOException {
-		LocalFleet fleet = new LocalFleet(shape, Files.createTempDirectory("tallycart-" + shape.name() + "-"));
-		fleet.settings.putAll(settings);
+		LocalFleet fleet = new LocalFleet(shape, FleetDirectory.create(shape.name(), settings));
 		fleet.jvmOptions.addAll(jvmOptions);
 		try {
 			fleet.startAll();
@@ -110,7 +98,7 @@
 
 	private void startAll() throws IOException {
 		this.standins = ManagedProcess.start("org.tallycart.standin.StandinMain",
-				write("standin.ini", standinSettings()), log("standin"), jvm("-Xmx768m"));
+				this.directory.write("standin.ini", standinSettings()), this.directory.log("standin"), jvm("-Xmx768m"));
 		for (int i = 0; i < this.shape.vms(); i++) {
 			this.vms.add(new VmProcesses("vm-" + (i + 1), this.shape.domain(i)));
 		}
@@ -141,7 +129,7 @@
 	private boolean slotsSettled() {
 		int open = 0;
 		for (VmProcesses vm : this.vms) {
-			int own = get(vm.steward.address("status"), "/status").path("open_slots").asInt();
+			int own = ProcessHttp.get(vm.steward.address("status"), "/status").path("open_slots").asInt();
 			if (own == 0) {
 				return false;
 			}
@@ -241,7 +229,7 @@
 		ini.put("platform", new LinkedHashMap<>(
 				Map.of("address", platform.toString(), "poll-interval", "500ms", "timeout", "1s", "watch-wait", "3s")));
 		vm.steward = ManagedProcess.start("org.tallycart.steward.StewardMain",
-				write("steward-" + vm.id + ".ini", ini("steward", ini)), log("steward-" + vm.id), jvm("-Xmx40m"));
+				this.directory.settings("steward", vm.id, ini), this.directory.log("steward-" + vm.id), jvm("-Xmx40m"));
 		vm.peerPort = vm.steward.address("peer").port();
 		vm.stewardStatusPort = vm.steward.address("status").port();
 	}
@@ -257,36 +245,12 @@
 		ini.put("status", new LinkedHashMap<>(Map.of("listen", "127.0.0.1:" + vm.entryStatusPort)));
 		ini.put("steward", new LinkedHashMap<>(Map.of("address", vm.steward.address("peer").toString())));
 		ini.put("drain", new LinkedHashMap<>(Map.of("lead", "500ms", "timeout", "30s")));
-		vm.entry = ManagedProcess.start("org.tallycart.entry.EntryMain",
-				write("entry-" + vm.id + ".ini", ini("entry", ini)), log("entry-" + vm.id), jvm("-Xmx256m"));
+		vm.entry = ManagedProcess.start("org.tallycart.entry.EntryMain", this.directory.settings("entry", vm.id, ini),
+				this.directory.log("entry-" + vm.id), jvm("-Xmx256m"));
 		vm.callersPort = vm.entry.address("callers").port();
 		vm.entryStatusPort = vm.entry.address("status").port();
 	}
 
-	private String ini(String program, Map<String, Map<String, String>> sections) {
-		this.settings.forEach((name, value) -> {
-			String[] path = name.split("\\.", 3);
-			if (path[0].equals(program)) {
-				section(sections, path[1]).put(path[2], value);
-			}
-		});
-		StringBuilder text = new StringBuilder();
-		sections.forEach((name, values) -> {
-			text.append('[').append(name).append("]\n");
-			values.forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
-			text.append('\n');
-		});
-		return text.toString();
-	}
-
-	private Path write(String name, String text) throws IOException {
-		return Files.writeString(this.directory.resolve(name), text);
-	}
-
-	private Path log(String name) {
-		return this.directory.resolve(name + ".log");
-	}
-
 	/**
 	 * Tell the platform's stand-in which VMs there are.
 	 */
@@ -304,7 +268,7 @@
 						this.upstreamStates.getOrDefault(id, VmState.LIVE)));
 			}
 		}
-		post(this.standins.address(PLATFORM), "/admin/vms", new VmList(0, list).encode());
+		ProcessHttp.post(this.standins.address(PLATFORM), "/admin/vms", new VmList(0, list).encode());
 	}
 
 	/**
@@ -314,7 +278,7 @@
 	 * @throws IOException if the file cannot be written
 	 */
 	public int apply(String text) throws IOException {
-		Path declared = Files.createDirectories(this.directory.resolve("declarations"));
+		Path declared = Files.createDirectories(this.directory.path().resolve("declarations"));
 		Files.writeString(declared.resolve("all.ini"), text);
 		return TallyctlMain.execute("apply", "--platform", platform().toString(), "--author", "testbed", "--quiet",
 				declared.toString());
@@ -377,7 +341,7 @@
 	}
 
 	private static boolean ready(VmProcesses vm) {
-		return get(vm.entry.address("status"), "/readyz").path("ready").asBoolean();
+		return ProcessHttp.get(vm.entry.address("status"), "/readyz").path("ready").asBoolean();
 	}
 
 	/**
@@ -394,7 +358,7 @@
 	 * @param json the fault
 	 */
 	public void platformFault(String json) {
-		post(platform(), "/admin/fault", json);
+		ProcessHttp.post(platform(), "/admin/fault", json);
 	}
 
 	/**
@@ -403,7 +367,9 @@
 	 * @param json the fault
 	 */
 	public void upstreamFault(Predicate<String> which, String json) {
-		upstreams().stream().filter(which).forEach((id) -> post(this.standins.address(id), "/admin/fault", json));
+		upstreams().stream()
+			.filter(which)
+			.forEach((id) -> ProcessHttp.post(this.standins.address(id), "/admin/fault", json));
 	}
 
 	/**
@@ -436,7 +402,7 @@
 	 * @return its counts
 	 */
 	public JsonNode runs(String id) {
-		return get(this.standins.address(id), "/admin/runs");
+		return ProcessHttp.get(this.standins.address(id), "/admin/runs");
 	}
 
 	/**
@@ -453,47 +419,12 @@
 		return runs;
 	}
 
-	/**
-	 * Read JSON from a process.
-	 * @param address where
-	 * @param path the path
-	 * @return the JSON; an empty object if the process does not answer
-	 */
-	public static JsonNode get(Address address, String path) {
-		return HttpConnection.connect(address, TIMEOUT_MS).flatMap((connection) -> {
-			try (connection) {
-				return connection.call(HttpCall.get(path).build(), TIMEOUT_MS);
-			}
-		}).map(LocalFleet::json).getOrElse(JSON.createObjectNode());
-	}
-
-	private static JsonNode json(HttpReply reply) {
-		try {
-			return JSON.readTree(reply.body());
-		}
-		catch (IOException ex) {
-			return JSON.createObjectNode();
-		}
-	}
-
-	private static void post(Address address, String path, String body) {
-		HttpConnection.connect(address, TIMEOUT_MS).flatMap((connection) -> {
-			try (connection) {
-				return connection.call(HttpCall.post(path, body.getBytes(StandardCharsets.UTF_8)).build(), TIMEOUT_MS);
-			}
-		})
-			.filterOrElse(HttpReply::ok,
-					(reply) -> new org.tallycart.http.HttpFailure(org.tallycart.http.HttpFailure.Kind.BROKEN, true,
-							"status " + reply.status()))
-			.getOrElseThrow((failure) -> new IllegalStateException(path + ": " + failure.message()));
-	}
-
 	/**
 	 * Return where logs and settings of this fleet are.
 	 * @return the directory
 	 */
 	public Path directory() {
-		return this.directory;
+		return this.directory.path();
 	}
 
 	@Override
@@ -512,79 +443,6 @@
 		this.proxies.values().forEach(FaultProxy::close);
 	}
 
-	/**
-	 * The processes of one VM. Not thread-safe, but for whether it is in the balancer.
-	 */
-	public static final class VmProcesses {
-
-		private final String id;
-
-		private final String domain;
-
-		private ManagedProcess steward;
-
-		private ManagedProcess entry;
-
-		private int peerPort;
-
-		private int stewardStatusPort;
-
-		private int callersPort;
-
-		private int entryStatusPort;
-
-		private volatile boolean inBalancer;
-
-		private boolean listed = true;
-
-		@SuppressWarnings("NullAway.Init")
-		private VmProcesses(String id, String domain) {
-			this.id = id;
-			this.domain = domain;
-		}
-
-		/**
-		 * Return the VM's id.
-		 * @return the id
-		 */
-		public String id() {
-			return this.id;
-		}
-
-		/**
-		 * Return the VM's steward.
-		 * @return the process
-		 */
-		public ManagedProcess steward() {
-			return this.steward;
-		}
-
-		/**
-		 * Return the VM's entry.
-		 * @return the process
-		 */
-		public ManagedProcess entry() {
-			return this.entry;
-		}
-
-		/**
-		 * Put the VM into the balancer, or take it out.
-		 * @param in whether it gets requests
-		 */
-		public void balancer(boolean in) {
-			this.inBalancer = in;
-		}
-
-		/**
-		 * Put the VM into the platform's list at its next publishing, or leave it out.
-		 * @param in whether it is listed
-		 */
-		public void listed(boolean in) {
-			this.listed = in;
-		}
-
-	}
-
 	/** Starts one process of a VM. */
 	@FunctionalInterface
 	private interface VmStart {
--- a/testbed/src/main/java/org/tallycart/testbed/ProcessMeasurement.java
+++ b/testbed/src/main/java/org/tallycart/testbed/ProcessMeasurement.java
@@ -21,23 +21,26 @@
  */
 final class ProcessMeasurement {
 
-	private static final long SETTLE_MS = 20_000;
-
-	private static final long WINDOW_MS = 12_000;
+	private static final long WINDOW_MS = 10_000;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
+	private static final long NANOS_PER_MS = 1_000_000;
+
 	private static final double MEGA = 1 << 20;
 
 	private ProcessMeasurement() {
 	}
 
-	static void print(PrintStream out) throws IOException {
+	static void stewards(PrintStream out, long settleMs) throws IOException {
 		out.println(
 				"stewards at rest: VMs, cpu %, resident MB, heap MB, peer messages in/s, bytes in/s, platform reads/s by all");
 		for (int vms : new int[] { 2, 4, 8 }) {
-			steward(out, vms);
+			steward(out, vms, settleMs);
 		}
+	}
+
+	static void entries(PrintStream out) throws IOException {
 		out.println("one entry under load: requests/s, tokens/s, cpu % of a core, resident MB");
 		for (double rate : new double[] { 0.1, 40, 80 }) {
 			entry(out, "dispatch", rate, 1, false);
@@ -48,7 +51,7 @@
 	}
 
 	private static JsonNode metrics(ManagedProcess process) {
-		return LocalFleet.get(process.address("status"), "/metrics");
+		return ProcessHttp.get(process.address("status"), "/metrics");
 	}
 
 	private static double perSecond(JsonNode before, JsonNode after, String name) {
@@ -57,15 +60,15 @@
 	}
 
 	private static long reads(Address platform) {
-		JsonNode counts = LocalFleet.get(platform, "/admin/counts");
+		JsonNode counts = ProcessHttp.get(platform, "/admin/counts");
 		return counts.path("read").asLong() + counts.path("vm-list").asLong();
 	}
 
-	private static void steward(PrintStream out, int vms) throws IOException {
+	private static void steward(PrintStream out, int vms, long settleMs) throws IOException {
 		Map<String, String> asShipped = Map.of("steward.peer.heartbeat-interval", "1s",
 				"steward.platform.poll-interval", "1s", "steward.platform.watch-wait", "5s");
 		try (LocalFleet fleet = LocalFleet.start(FleetShape.bogota(vms), asShipped, List.of())) {
-			Waiting.pause(SETTLE_MS);
+			Waiting.pause(settleMs);
 			JsonNode before = metrics(fleet.vm(0).steward());
 			long readsBefore = reads(fleet.platform());
 			Waiting.pause(WINDOW_MS);
@@ -84,10 +87,13 @@
 		Scenario.Kind kind = new Scenario.Kind("k", 1, pipeline, List.of("suba-express"), "", 10_000, tokens, tokens,
 				repeatable, repeatable, 0);
 		try (LocalFleet fleet = LocalFleet.start(FleetShape.bogota(1), Map.of(), List.of())) {
-			LoadRun.run(new Scenario(Math.max(rate, 40), 12_000, 1, 0, 0, 1, 0, List.of(kind)), fleet::entries);
+			LoadRun.run(new Scenario(Math.max(rate, 40), 6_000, 1, 0, 0, 1, 0, List.of(kind)), fleet::entries);
 			JsonNode before = metrics(fleet.vm(0).entry());
+			long beganNs = System.nanoTime();
 			LoadReport report = LoadRun.run(new Scenario(rate, WINDOW_MS, 2, 0, 0, 1, 0, List.of(kind)),
 					fleet::entries);
+			// The run ends with its last request; the window does not.
+			Waiting.pause(WINDOW_MS - (System.nanoTime() - beganNs) / NANOS_PER_MS);
 			JsonNode after = metrics(fleet.vm(0).entry());
 			double perSecond = report.total() * 1_000.0 / WINDOW_MS;
 			out.printf("%-10s %7.1f %8.0f %8.2f %8.1f   attainment %.4f p50 %d ms%n", pipeline, perSecond,
--- a/testbed/src/main/java/org/tallycart/testbed/Waiting.java
+++ b/testbed/src/main/java/org/tallycart/testbed/Waiting.java
@@ -38,7 +38,7 @@
 	 */
 	public static void pause(long millis) {
 		try {
-			Thread.sleep(millis);
+			Thread.sleep(Math.max(millis, 0));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
