--- a/entry/src/main/java/org/tallycart/entry/RequestRunner.java
+++ b/entry/src/main/java/org/tallycart/entry/RequestRunner.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.uuid.Generators;
 import io.vavr.control.Either;
+import org.tallycart.core.claim.SubmissionId;
 import org.tallycart.core.declaration.Pipeline;
 import org.tallycart.core.declaration.Workspace;
 import org.tallycart.core.outcome.Ending;
@@ -105,7 +106,7 @@
 
 		private final Optional<RequestContext> context;
 
-		private final String submission = Generators.timeBasedEpochGenerator().generate().toString();
+		private final String submission;
 
 		private boolean claimed;
 
@@ -121,6 +122,7 @@
 
 		private Run(CallerRequest request, long arrivedMs, Ending refusal) {
 			this.request = request;
+			this.submission = submissionId(request);
 			this.arrivedMs = arrivedMs;
 			this.context = Optional.empty();
 			this.refusal = Optional.of(unlessRunBefore(refusal));
@@ -128,11 +130,16 @@
 
 		private Run(RequestContext context) {
 			this.request = context.request();
+			this.submission = submissionId(context.request());
 			this.arrivedMs = context.arrivedMs();
 			this.context = Optional.of(context);
 			this.refusal = Optional.empty();
 		}
 
+		private static String submissionId(CallerRequest request) {
+			return new SubmissionId(request.id(), Generators.timeBasedEpochGenerator().generate().toString()).text();
+		}
+
 		private Ending unlessRunBefore(Ending ending) {
 			// Without a claim it is not known whether an earlier submission of the key
 			// ran.
--- a/entry/src/main/java/org/tallycart/entry/claim/ClaimClient.java
+++ b/entry/src/main/java/org/tallycart/entry/claim/ClaimClient.java
@@ -12,6 +12,7 @@
 import org.tallycart.core.claim.IdempotencyKey;
 import org.tallycart.core.claim.KeyWindow;
 import org.tallycart.core.claim.SlotOwner;
+import org.tallycart.core.claim.SubmissionId;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.outcome.Ending;
 import org.tallycart.core.outcome.Outcome;
@@ -110,7 +111,7 @@
 		while (decision == null) {
 			Either<WireError, ClaimAnswer> answer = ask(key, attemptId);
 			maybeRecorded |= answer.isLeft() && answer.getLeft() != WireError.NOT_CONNECTED;
-			this.events.emit(EventCode.KEY_CLAIMED, attemptId,
+			this.events.emit(EventCode.KEY_CLAIMED, SubmissionId.requestOf(attemptId),
 					key.text() + " " + answer.map((known) -> known.getStatus().name()).getOrElseGet(WireError::name));
 			held = answer.isRight() && answer.get().getStatus() == ClaimAnswer.Status.HELD;
 			decision = answer.isRight() ? decide(key, answer.get(), firstSubmission) : null;
--- a/integration-tests/src/test/java/org/tallycart/integration/WholePathTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/WholePathTests.java
@@ -110,4 +110,20 @@
 		assertEquals(names.stream().filter("ATTEMPT_ENDED"::equals).count(), 4);
 	}
 
+	@Test
+	void theTimeLineOfAConfirmationSpansEntryAndSlotOwnerInOrder() {
+		CallerAnswer answer = CallerClient.submit(fleet().entries().get(0), request(0));
+		assertTrue(answer.whole(), answer.toString());
+		List<JsonNode> events = new ArrayList<>();
+		for (String port : fleet().statusPorts().split(",")) {
+			ProcessHttp.get(Address.parse(port).get(), "/events?request=" + answer.requestId()).forEach(events::add);
+		}
+		events.sort(java.util.Comparator.comparingLong((JsonNode event) -> event.path("ms").asLong())
+			.thenComparingInt((event) -> event.path("logical").asInt()));
+		List<String> names = events.stream().map((event) -> event.path("name").asText()).toList();
+		int answered = names.indexOf("CLAIM_ANSWERED");
+		assertTrue(answered > names.indexOf("REQUEST_ARRIVED"), names.toString());
+		assertTrue(answered < names.indexOf("KEY_CLAIMED"), names.toString());
+	}
+
 }
--- a/steward/src/main/java/org/tallycart/steward/SlotKeeper.java
+++ b/steward/src/main/java/org/tallycart/steward/SlotKeeper.java
@@ -16,6 +16,7 @@
 import org.tallycart.core.claim.SlotHandover;
 import org.tallycart.core.claim.SlotMap;
 import org.tallycart.core.claim.SlotOwner;
+import org.tallycart.core.claim.SubmissionId;
 import org.tallycart.core.membership.SlotPlan;
 import org.tallycart.platform.WriteResult;
 import org.tallycart.runtime.event.EventCode;
@@ -240,7 +241,8 @@
 		}
 		Holder asker = ClaimMessages.holder(call.getClaimant());
 		ClaimReply reply = this.claims.claim(key.get(), asker, call.getKnownTerm(), Clocks.SYSTEM.wallMs());
-		this.events.emit(EventCode.CLAIM_ANSWERED, asker.attemptId(), call.getKey() + " " + reply.status());
+		this.events.emit(EventCode.CLAIM_ANSWERED, SubmissionId.requestOf(asker.attemptId()),
+				call.getKey() + " " + reply.status());
 		return ClaimMessages.answer(reply);
 	}
 
