Names read as imports, not as paths

Cause: reading as a newcomer, 28 files spelled out full class paths inside code, which hides what a line says. Change: imports, in Spring's order; nothing else. Ruled out: changing the paths in generated code.

--- a/core/src/main/java/org/tallycart/core/claim/SlotMap.java
+++ b/core/src/main/java/org/tallycart/core/claim/SlotMap.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -99,7 +100,7 @@
 		while (slot < this.slotCount) {
 			SlotOwner owner = this.owners.get(slot);
 			int end = slot + 1;
-			while (end < this.slotCount && java.util.Objects.equals(owner, this.owners.get(end))) {
+			while (end < this.slotCount && Objects.equals(owner, this.owners.get(end))) {
 				end++;
 			}
 			if (owner != null) {
--- a/core/src/main/java/org/tallycart/core/ini/SectionReader.java
+++ b/core/src/main/java/org/tallycart/core/ini/SectionReader.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -79,13 +80,13 @@
 		}
 		String wanted = value.get();
 		for (E constant : type.getEnumConstants()) {
-			if (constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-').equals(wanted)) {
+			if (constant.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(wanted)) {
 				return constant;
 			}
 		}
 		String names = String.join(", ",
 				Arrays.stream(type.getEnumConstants())
-					.map((constant) -> constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'))
+					.map((constant) -> constant.name().toLowerCase(Locale.ROOT).replace('_', '-'))
 					.toList());
 		problem(key, "'" + wanted + "' is not a known word", "one of " + names);
 		return fallback;
--- a/core/src/main/java/org/tallycart/core/routing/UpstreamTable.java
+++ b/core/src/main/java/org/tallycart/core/routing/UpstreamTable.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -87,7 +88,7 @@
 		return RendezvousHash.top(this.vm, byId.keySet(), this.subsetSize)
 			.stream()
 			.map((id) -> service.upstreams().stream().filter((upstream) -> upstream.id().equals(id)).findFirst())
-			.flatMap(java.util.Optional::stream)
+			.flatMap(Optional::stream)
 			.toList();
 	}
 
--- a/ctl/src/main/java/org/tallycart/ctl/FleetOptions.java
+++ b/ctl/src/main/java/org/tallycart/ctl/FleetOptions.java
@@ -1,5 +1,6 @@
 package org.tallycart.ctl;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -73,7 +74,7 @@
 		try {
 			return Either.right(JSON.readTree(reply.body()));
 		}
-		catch (java.io.IOException ex) {
+		catch (IOException ex) {
 			return Either.left("not JSON: " + ex.getMessage());
 		}
 	}
--- a/ctl/src/main/java/org/tallycart/ctl/Output.java
+++ b/ctl/src/main/java/org/tallycart/ctl/Output.java
@@ -1,5 +1,7 @@
 package org.tallycart.ctl;
 
+import java.util.Locale;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -37,7 +39,7 @@
 			print(node);
 		}
 		else {
-			System.out.println(result.status().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '));
+			System.out.println(result.status().name().toLowerCase(Locale.ROOT).replace('_', ' '));
 			result.lines().forEach(System.out::println);
 		}
 		return exitCode;
--- a/ctl/src/main/java/org/tallycart/ctl/PlanCommand.java
+++ b/ctl/src/main/java/org/tallycart/ctl/PlanCommand.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.SortedMap;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 
 import io.vavr.control.Either;
 import org.tallycart.core.ini.Problem;
@@ -77,7 +78,7 @@
 	private static List<String> lines(String before, String after) {
 		List<String> old = before.lines().toList();
 		List<String> now = after.lines().toList();
-		return java.util.stream.Stream
+		return Stream
 			.concat(old.stream().filter((line) -> !now.contains(line)).map((line) -> "  - " + line),
 					now.stream()
 						.filter((line) -> !old.contains(line) || line.startsWith("["))
--- a/entry/src/main/java/org/tallycart/entry/claim/ClaimClient.java
+++ b/entry/src/main/java/org/tallycart/entry/claim/ClaimClient.java
@@ -2,8 +2,10 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -232,8 +234,7 @@
 		}
 		owner.call(Envelope.newBuilder().setClaimFinish(finish), CALL_TIMEOUT_MS).thenAccept((reply) -> {
 			if (reply.isLeft() || !reply.get().getAck().getAccepted()) {
-				java.util.concurrent.CompletableFuture
-					.delayedExecutor(CALL_TIMEOUT_MS, java.util.concurrent.TimeUnit.MILLISECONDS)
+				CompletableFuture.delayedExecutor(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
 					.execute(() -> finish(key, finish, triesLeft - 1));
 			}
 		});
@@ -257,8 +258,7 @@
 		return Claimant.newBuilder().setVm(this.vm).setAttemptId(attemptId).build();
 	}
 
-	private static Either<WireError, Envelope> await(
-			java.util.concurrent.CompletableFuture<Either<WireError, Envelope>> reply) {
+	private static Either<WireError, Envelope> await(CompletableFuture<Either<WireError, Envelope>> reply) {
 		try {
 			return reply.get();
 		}
--- a/entry/src/main/java/org/tallycart/entry/stage/CallStage.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/CallStage.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -64,7 +65,7 @@
 		this.context = context;
 		this.service = service;
 		this.data = data;
-		this.protocol = java.util.Objects.requireNonNull(PROTOCOLS.get(service.kind()));
+		this.protocol = Objects.requireNonNull(PROTOCOLS.get(service.kind()));
 	}
 
 	/**
--- a/entry/src/main/java/org/tallycart/entry/stage/LoadPoller.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/LoadPoller.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.tallycart.core.declaration.Upstream;
@@ -71,8 +72,7 @@
 			return;
 		}
 		List<Upstream> upstreams = this.table.used();
-		java.util.concurrent.atomic.AtomicInteger left = new java.util.concurrent.atomic.AtomicInteger(
-				upstreams.size());
+		AtomicInteger left = new AtomicInteger(upstreams.size());
 		if (upstreams.isEmpty()) {
 			this.polling.set(false);
 		}
--- a/entry/src/main/java/org/tallycart/entry/stage/StageRunner.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/StageRunner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.tallycart.core.declaration.Service;
@@ -122,7 +123,7 @@
 	}
 
 	private Either<Ending, PipelineData> gated(RequestContext context, List<Service> rest,
-			java.util.function.Supplier<Either<Ending, PipelineData>> call) {
+			Supplier<Either<Ending, PipelineData>> call) {
 		Service service = rest.get(0);
 		List<Long> expected = new ArrayList<>();
 		rest.forEach((next) -> expected.add(this.tools.times().expectedMs(next, context.request().maxTokens())));
--- a/http/src/main/java/org/tallycart/http/HttpListener.java
+++ b/http/src/main/java/org/tallycart/http/HttpListener.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
@@ -47,7 +48,7 @@
 
 	private static final byte[] BUSY = ("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
 			+ "Content-Length: 0\r\nConnection: close\r\n\r\n")
-		.getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+		.getBytes(StandardCharsets.US_ASCII);
 
 	private final ServerSocket socket;
 
--- a/integration-tests/src/test/java/org/tallycart/integration/AnswerIntegrityTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/AnswerIntegrityTests.java
@@ -1,5 +1,7 @@
 package org.tallycart.integration;
 
+import java.util.List;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import org.tallycart.load.LoadReport;
 import org.tallycart.standin.FaultProxy;
@@ -42,7 +44,7 @@
 		fleet().upstreamFault((id) -> id.startsWith(prefix), fault);
 		LoadReport report = LoadBehind.start(fleet(), 30, 3_000, LoadBehind.questions(), LoadBehind.wholeQuestions())
 			.await();
-		assertEquals(report.violations(), java.util.List.of());
+		assertEquals(report.violations(), List.of());
 		assertEquals(report.count("NONE"), 0, report.text());
 		assertTrue(report.count("COMPLETE") >= leastWhole * report.total(), report.text());
 	}
@@ -55,7 +57,7 @@
 			fleet().proxy("generate-" + (1 + i % 8)).cut();
 		}
 		LoadReport report = load.await();
-		assertEquals(report.violations(), java.util.List.of());
+		assertEquals(report.violations(), List.of());
 		assertTrue(report.count("COMPLETE") >= 0.8 * report.total(), report.text());
 		assertTrue(events("STREAM_RESUMED") > 0, "some stream was resumed elsewhere");
 	}
@@ -67,7 +69,7 @@
 		LoadReport report = LoadBehind.start(fleet(), 30, 4_000, LoadBehind.wholeQuestions()).await();
 		proxy.towardsCaller().drop(false);
 		proxy.cut();
-		assertEquals(report.violations(), java.util.List.of());
+		assertEquals(report.violations(), List.of());
 		assertTrue(report.count("COMPLETE") >= 0.9 * report.total(), report.text());
 	}
 
--- a/integration-tests/src/test/java/org/tallycart/integration/WholePathTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/WholePathTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -118,7 +119,7 @@
 		for (String port : fleet().statusPorts().split(",")) {
 			ProcessHttp.get(Address.parse(port).get(), "/events?request=" + answer.requestId()).forEach(events::add);
 		}
-		events.sort(java.util.Comparator.comparingLong((JsonNode event) -> event.path("ms").asLong())
+		events.sort(Comparator.comparingLong((JsonNode event) -> event.path("ms").asLong())
 			.thenComparingInt((event) -> event.path("logical").asInt()));
 		List<String> names = events.stream().map((event) -> event.path("name").asText()).toList();
 		int answered = names.indexOf("CLAIM_ANSWERED");
--- a/load/src/main/java/org/tallycart/load/LoadMain.java
+++ b/load/src/main/java/org/tallycart/load/LoadMain.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 
 import io.vavr.control.Either;
@@ -53,7 +54,7 @@
 
 	@Override
 	public Integer call() throws IOException {
-		Path file = java.util.Objects.requireNonNull(this.scenario);
+		Path file = Objects.requireNonNull(this.scenario);
 		Either<List<Problem>, Scenario> read = Scenario.read(file.toString(), Files.readString(file));
 		if (read.isLeft()) {
 			read.getLeft().forEach((problem) -> System.err.println(problem));
--- a/policy/src/main/java/org/tallycart/policy/CelPolicyCompiler.java
+++ b/policy/src/main/java/org/tallycart/policy/CelPolicyCompiler.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 import dev.cel.common.CelAbstractSyntaxTree;
 import dev.cel.common.CelIssue;
@@ -105,7 +106,7 @@
 			return;
 		}
 		try {
-			CelCompiler compiler = java.util.Objects.requireNonNull(this.compilers.get(kind));
+			CelCompiler compiler = Objects.requireNonNull(this.compilers.get(kind));
 			CelAbstractSyntaxTree tree = compiler.compile(rule).getAst();
 			programs.put(kind, RUNTIME.createProgram(tree));
 		}
--- a/policy/src/main/java/org/tallycart/policy/RuleKind.java
+++ b/policy/src/main/java/org/tallycart/policy/RuleKind.java
@@ -1,6 +1,7 @@
 package org.tallycart.policy;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import dev.cel.common.types.CelType;
 import dev.cel.common.types.SimpleType;
@@ -38,7 +39,7 @@
 	}
 
 	List<Variable> variables() {
-		return java.util.stream.Stream.concat(Variables.REQUEST.stream(), this.extra.stream()).toList();
+		return Stream.concat(Variables.REQUEST.stream(), this.extra.stream()).toList();
 	}
 
 	/**
--- a/runtime/src/main/java/org/tallycart/runtime/process/DaemonCommand.java
+++ b/runtime/src/main/java/org/tallycart/runtime/process/DaemonCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
@@ -53,7 +54,7 @@
 	@Override
 	public final Integer call() throws InterruptedException {
 		List<Problem> problems = new ArrayList<>();
-		SettingsFile file = SettingsFile.read(java.util.Objects.requireNonNull(this.config), problems);
+		SettingsFile file = SettingsFile.read(Objects.requireNonNull(this.config), problems);
 		LogSettings log = LogSettings.read(file, problems);
 		S settings = read(file, problems);
 		file.finish(problems);
--- a/standin/src/main/java/org/tallycart/standin/EngineStandin.java
+++ b/standin/src/main/java/org/tallycart/standin/EngineStandin.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Stand-in for a model engine: streams tokens, slows down as its batch grows, keeps a
@@ -103,8 +104,7 @@
 		}
 	}
 
-	private static void chunk(OutputStream out, String text, @org.jspecify.annotations.Nullable String finish)
-			throws IOException {
+	private static void chunk(OutputStream out, String text, @Nullable String finish) throws IOException {
 		ObjectNode root = JsonHttp.JSON.createObjectNode();
 		root.putArray("choices").addObject().put("index", 0).put("text", text).put("finish_reason", finish);
 		out.write(("data: " + JsonHttp.JSON.writeValueAsString(root) + "\n\n").getBytes(StandardCharsets.UTF_8));
--- a/standin/src/main/java/org/tallycart/standin/StandinMain.java
+++ b/standin/src/main/java/org/tallycart/standin/StandinMain.java
@@ -1,8 +1,10 @@
 package org.tallycart.standin;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 
 import io.vavr.control.Either;
@@ -53,9 +55,9 @@
 
 	@Override
 	public Integer call() throws Exception {
-		Path file = java.util.Objects.requireNonNull(this.config);
+		Path file = Objects.requireNonNull(this.config);
 		List<Problem> problems = new ArrayList<>();
-		List<IniSection> sections = IniText.read(file.toString(), java.nio.file.Files.readString(file), problems);
+		List<IniSection> sections = IniText.read(file.toString(), Files.readString(file), problems);
 		StringBuilder started = new StringBuilder("STARTED");
 		for (IniSection section : sections) {
 			SectionReader reader = SectionReader.of(section, problems);
--- a/steward/src/main/java/org/tallycart/steward/EntryFeed.java
+++ b/steward/src/main/java/org/tallycart/steward/EntryFeed.java
@@ -5,6 +5,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 
 import com.google.protobuf.ByteString;
 import org.jspecify.annotations.Nullable;
@@ -25,13 +27,13 @@
 
 	private final FleetState state;
 
-	private final java.util.function.IntSupplier activeVms;
+	private final IntSupplier activeVms;
 
-	private final java.util.function.BooleanSupplier ready;
+	private final BooleanSupplier ready;
 
 	private final List<Subscriber> subscribers = new ArrayList<>();
 
-	EntryFeed(FleetState state, java.util.function.IntSupplier activeVms, java.util.function.BooleanSupplier ready) {
+	EntryFeed(FleetState state, IntSupplier activeVms, BooleanSupplier ready) {
 		this.state = state;
 		this.activeVms = activeVms;
 		this.ready = ready;
--- a/steward/src/main/java/org/tallycart/steward/PlatformLink.java
+++ b/steward/src/main/java/org/tallycart/steward/PlatformLink.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.tallycart.core.membership.WatcherSelection;
@@ -167,7 +168,7 @@
 		}));
 	}
 
-	private void submit(java.util.function.Supplier<Either<PlatformError, Optional<StoredValue>>> call,
+	private void submit(Supplier<Either<PlatformError, Optional<StoredValue>>> call,
 			Consumer<Optional<StoredValue>> then) {
 		this.threads.execute(this.guard.wrap("platform read", () -> {
 			Either<PlatformError, Optional<StoredValue>> result = call.get();
--- a/steward/src/main/java/org/tallycart/steward/SlotKeeper.java
+++ b/steward/src/main/java/org/tallycart/steward/SlotKeeper.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
@@ -214,7 +216,7 @@
 			return;
 		}
 		this.platform.readSlots();
-		java.util.concurrent.CompletableFuture.delayedExecutor(100, java.util.concurrent.TimeUnit.MILLISECONDS)
+		CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS)
 			.execute(() -> this.control.execute("resolve", () -> waitForNewer(change, knownVersion)));
 	}
 
--- a/steward/src/main/java/org/tallycart/steward/SpreadMeasurement.java
+++ b/steward/src/main/java/org/tallycart/steward/SpreadMeasurement.java
@@ -1,5 +1,6 @@
 package org.tallycart.steward;
 
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.membership.Vm;
@@ -20,6 +22,7 @@
 import org.tallycart.core.membership.WatcherSelection;
 import org.tallycart.core.replication.Digest;
 import org.tallycart.core.replication.Manifest;
+import org.tallycart.core.replication.PartName;
 import org.tallycart.core.time.HybridClock;
 import org.tallycart.runtime.event.EventLog;
 import org.tallycart.runtime.process.Clocks;
@@ -145,7 +148,7 @@
 	}
 
 	private static long cpuNs() {
-		return java.lang.management.ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+		return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
 	}
 
 	private long behind(long version) {
@@ -181,7 +184,7 @@
 		try {
 			return Envelope.parseFrom(encoded);
 		}
-		catch (com.google.protobuf.InvalidProtocolBufferException ex) {
+		catch (InvalidProtocolBufferException ex) {
 			throw new IllegalStateException("a message that was just encoded can be read", ex);
 		}
 	}
@@ -222,7 +225,7 @@
 			for (int i = 0; i < workspaces; i++) {
 				String name = "workspace shop-" + i;
 				int weight = (i == 0) ? 1 + change : 1;
-				texts.computeIfAbsent(org.tallycart.core.replication.PartName.of(name), (key) -> new StringBuilder())
+				texts.computeIfAbsent(PartName.of(name), (key) -> new StringBuilder())
 					.append("[" + name + "]\nrequests-per-second = 20\nweight = " + weight + "\n\n");
 			}
 			Map<String, byte[]> parts = new HashMap<>();
--- a/steward/src/main/java/org/tallycart/steward/Steward.java
+++ b/steward/src/main/java/org/tallycart/steward/Steward.java
@@ -1,6 +1,8 @@
 package org.tallycart.steward;
 
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -236,7 +238,7 @@
 			.put("ready", this.ready)
 			.put("draining", this.draining)
 			.put("current", this.current);
-		java.util.concurrent.CountDownLatch done = new java.util.concurrent.CountDownLatch(1);
+		CountDownLatch done = new CountDownLatch(1);
 		this.control.execute("status", () -> {
 			node.put("config_version", this.state.manifest().version())
 				.put("slots_version", this.state.register(RegisterName.SLOTS).version())
@@ -247,7 +249,7 @@
 			done.countDown();
 		});
 		try {
-			done.await(1, java.util.concurrent.TimeUnit.SECONDS);
+			done.await(1, TimeUnit.SECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/testbed/src/main/java/org/tallycart/testbed/CoreMeasurement.java
+++ b/testbed/src/main/java/org/tallycart/testbed/CoreMeasurement.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
+import java.lang.ref.Reference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -133,7 +134,7 @@
 					(section, source) -> List.of());
 			best = Math.min(best, cpuNs() - began);
 			kept = usedBytes() - before;
-			java.lang.ref.Reference.reachabilityFence(read);
+			Reference.reachabilityFence(read);
 		}
 		out.printf("%7d %9d %6d %9d%n", count, text.length(), best / NANOS_PER_MS, kept);
 	}
--- a/testbed/src/main/java/org/tallycart/testbed/LocalFleet.java
+++ b/testbed/src/main/java/org/tallycart/testbed/LocalFleet.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -39,7 +41,7 @@
 
 	private final List<VmProcesses> vms = new ArrayList<>();
 
-	private final Map<String, FaultProxy> proxies = new java.util.concurrent.ConcurrentHashMap<>();
+	private final Map<String, FaultProxy> proxies = new ConcurrentHashMap<>();
 
 	private final Map<String, VmState> upstreamStates = new HashMap<>();
 
@@ -112,7 +114,7 @@
 	}
 
 	private void together(VmStart start) throws IOException {
-		List<IOException> failures = new java.util.concurrent.CopyOnWriteArrayList<>();
+		List<IOException> failures = new CopyOnWriteArrayList<>();
 		this.vms.parallelStream().forEach((vm) -> {
 			try {
 				start.start(vm);
--- a/testbed/src/main/java/org/tallycart/testbed/Trial.java
+++ b/testbed/src/main/java/org/tallycart/testbed/Trial.java
@@ -1,5 +1,6 @@
 package org.tallycart.testbed;
 
+import java.io.IOException;
 import java.util.List;
 
 import org.tallycart.load.Scenario;
@@ -34,7 +35,7 @@
 	@FunctionalInterface
 	interface FleetAction {
 
-		void on(LocalFleet fleet) throws java.io.IOException;
+		void on(LocalFleet fleet) throws IOException;
 
 	}
 
--- a/wire/src/main/java/org/tallycart/wire/WireCodec.java
+++ b/wire/src/main/java/org/tallycart/wire/WireCodec.java
@@ -1,5 +1,7 @@
 package org.tallycart.wire;
 
+import java.util.function.Supplier;
+
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
@@ -22,9 +24,9 @@
 
 	private static final int MAX_FRAME_BYTES = 8 << 20;
 
-	private final java.util.function.Supplier<ChannelHandler> last;
+	private final Supplier<ChannelHandler> last;
 
-	WireCodec(java.util.function.Supplier<ChannelHandler> last) {
+	WireCodec(Supplier<ChannelHandler> last) {
 		this.last = last;
 	}
 
