A stream that has begun is never followed by a second answer; renew watches

Ruled out: chunk framing itself. Change: one place ends a request; an open stream is cut off there. Test aStreamThatHasBegunIsNeverFollowedByASecondAnswer failed before.

A cause in reach: a watch that waits over a cut path hears nothing for up to 5 s after the cut. The records' reads, now each second, tell when the store can be reached again, and both watches are renewed then. Not yet shown to be it.

--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -42,8 +42,11 @@
 	/** Time between two looks at what has expired, in milliseconds. */
 	private static final long HOUSEKEEPING_MS = 200;
 
-	/** Time between two looks at the other VMs' records, in milliseconds. */
-	private static final long RECORDS_MS = 3_000;
+	/**
+	 * Time between two looks at the other VMs' records, in milliseconds. They are cheap,
+	 * and tell at the same time whether the store can be reached.
+	 */
+	private static final long RECORDS_MS = 1_000;
 
 	/**
 	 * How long callers are still accepted after a stop began, in milliseconds: the
@@ -89,6 +92,8 @@
 
 	private final WireTransport transport;
 
+	private boolean storeMissed;
+
 	private Optional<Listeners> listeners = Optional.empty();
 
 	private Runnable drainAction = () -> {
@@ -177,9 +182,13 @@
 	}
 
 	private void readRecords() {
-		this.records.read((found) -> found.peek(this.mesh::know)
-			.peekLeft(
-					(error) -> this.log.event(EventCode.PLATFORM_FAILED, "call", "records", "detail", error.detail())));
+		this.records.read((found) -> {
+			found.peek(this.mesh::know);
+			if (found.isRight() && this.storeMissed) {
+				this.store.renew();
+			}
+			this.storeMissed = found.isLeft();
+		});
 	}
 
 	private void housekeeping() {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -235,8 +235,7 @@
 			abort("status " + head.status());
 		}
 		else if (failed && PROMISES.contains(head.status())) {
-			answerOwn(CallerAnswer.ANSWER_LOST,
-					"status " + head.status() + " without the statement that it has not run");
+			answer(CallerAnswer.ANSWER_LOST, "status " + head.status() + " without the statement that it has not run");
 		}
 		else {
 			this.responder.send(CallerAnswer.passed(head), body);
@@ -295,11 +294,8 @@
 	}
 
 	private void giveUp(String reason) {
-		if (this.streaming) {
-			abort(reason);
-		}
-		else if (this.mayHaveRun) {
-			answerOwn(CallerAnswer.ANSWER_LOST, reason);
+		if (this.mayHaveRun) {
+			answer(CallerAnswer.ANSWER_LOST, reason);
 		}
 		else {
 			answerNotRun(UNREACHABLE_RETRY_MS, reason);
@@ -310,12 +306,8 @@
 		if (this.finished) {
 			return;
 		}
-		boolean sent = this.mayHaveRun || this.attempt != null;
-		if (this.streaming) {
-			abort("time is over");
-		}
-		else if (sent) {
-			answerOwn(CallerAnswer.TIME_OVER, "time is over");
+		if (this.mayHaveRun || this.attempt != null) {
+			answer(CallerAnswer.TIME_OVER, "time is over");
 		}
 		else {
 			answerNotRun(BUSY_RETRY_MS, "time is over before it ran");
@@ -332,14 +324,21 @@
 	}
 
 	private void answerNotRun(long retryAfterMs, String reason) {
-		this.responder.send(CallerAnswer.notRun(retryAfterMs), new byte[0]);
-		finish(EventCode.REQUEST_DECLINED, "status", CallerAnswer.NOT_RUN, "reason", reason, "sends", this.sends);
+		answer(CallerAnswer.notRun(retryAfterMs), reason);
 	}
 
-	private void answerOwn(int status, String reason) {
-		HttpResponse head = CallerAnswer.own(status);
+	private void answer(int status, String reason) {
+		answer(CallerAnswer.own(status), reason);
+	}
+
+	// A stream that has begun cannot be followed by another answer: it is cut off.
+	private void answer(HttpResponse head, String reason) {
+		if (this.streaming) {
+			abort(reason);
+			return;
+		}
 		this.responder.send(head, new byte[0]);
-		finish(EventCode.REQUEST_DECLINED, "status", status, "reason", reason, "sends", this.sends);
+		finish(EventCode.REQUEST_DECLINED, "status", head.getCode(), "reason", reason, "sends", this.sends);
 	}
 
 	private void finish(EventCode code, Object... pairs) {
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -68,6 +68,12 @@
 		this.upstreamFeed.start();
 	}
 
+	/** Go on at once, because the store can be reached again. */
+	public void renew() {
+		this.configFeed.renew();
+		this.upstreamFeed.renew();
+	}
+
 	private void takeConfig(StoredObject object) {
 		if (!ConfigDecoder.NAME.equals(object.name())) {
 			return;
--- a/node/src/test/java/org/tallycart/node/NodePathTests.java
+++ b/node/src/test/java/org/tallycart/node/NodePathTests.java
@@ -231,6 +231,27 @@
 		assertEquals(runs("r1"), 2);
 	}
 
+	@Test
+	void aStreamThatHasBegunIsNeverFollowedByASecondAnswer() {
+		setFault("engine", UpstreamStandin.Fault.BREAK);
+		Thread changer = new Thread(() -> {
+			await(() -> runs("r1") > 0);
+			setFault("engine", UpstreamStandin.Fault.INPUT_GONE);
+			setFault("pool", UpstreamStandin.Fault.CLOSE);
+			this.upstreams.values().forEach((upstream) -> {
+				if (upstream.runs("r1") > 0) {
+					upstream.setFault(UpstreamStandin.Fault.BREAK);
+				}
+			});
+		});
+		changer.start();
+		String answer = request(this.nodes.get(0), "/stream/x", "r1",
+				GENERATION + "X-Tallycart-Pieces: 1,1\r\nX-Tallycart-Piece-Key: k\r\n");
+		assertTrue(answer.contains("id: 1"), answer);
+		assertEquals(answer.split("HTTP/1.1", -1).length - 1, 1, answer);
+		assertFalse(answer.endsWith("0\r\n\r\n"), "not complete");
+	}
+
 	@Test
 	void aBrokenStreamThatCannotBeResumedDoesNotLookComplete() {
 		setFault("engine", UpstreamStandin.Fault.BREAK);
