--- a/core/src/main/java/org/tallycart/core/pool/PieceJob.java
+++ b/core/src/main/java/org/tallycart/core/pool/PieceJob.java
@@ -14,8 +14,12 @@
  * @param priority the request's rank; 0 is the most urgent
  * @param failureDomain where its result is wanted
  * @param resultBytes the approximate size of its result
+ * @param together whether its stage's results are read together, so that they are better
+ * made at one worker
+ * @param movedBytes what crosses failure domains if it is made in another one: its
+ * inputs, or its result
  * @since 0.1
  */
 public record PieceJob(PieceId id, String service, String key, List<String> inputs, long deadlineMs, long objectiveMs,
-		int priority, String failureDomain, long resultBytes) {
+		int priority, String failureDomain, long resultBytes, boolean together, long movedBytes) {
 }
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -18,9 +18,7 @@
  * Puts the pieces of many requests into calls of one pool's workers.
  * <p>
  * A call costs a fixed time whatever it holds, so pieces wait for company, but only while
- * no worker is idle. Order: pieces that can still be on time first, then rank, then the
- * time they are needed by. A large result is made in the failure domain where it is
- * wanted, unless that makes it late.
+ * no worker is idle. {@link CallChooser} tells which pieces go together.
  * <p>
  * Invariants: no worker has more calls than slots; a piece is in the queue or in calls,
  * and each asker hears one outcome unless it withdraws; no draining worker gets a call.
@@ -30,11 +28,8 @@
  */
 public final class PoolDispatcher {
 
-	/**
-	 * A result of this size is worth keeping in its failure domain; smaller ones cost
-	 * nothing.
-	 */
-	private static final long LARGE_RESULT_BYTES = 200_000;
+	/** How long a worker without room for results gets no pieces, in milliseconds. */
+	private static final long NO_ROOM_PAUSE_MS = 60;
 
 	/** A call is overdue after this many times its expected length, plus a margin. */
 	private static final double OVERDUE_FACTOR = 1.8;
@@ -45,18 +40,15 @@
 	/** Calls that may be tried for one piece: the first, and two more after failures. */
 	private static final int MAX_CALLS = 3;
 
-	/**
-	 * What a request still needs after its last piece, in milliseconds: reading its
-	 * prompt.
-	 */
-	private static final long AFTER_PIECES_MS = 300;
-
 	/**
 	 * A worker this many times slower than the fastest gets no call while others are
 	 * idle.
 	 */
 	private static final double SLOW_PACE = 1.8;
 
+	/** Paces that differ by less than one part of this are taken as equal. */
+	private static final double PACE_STEPS = 2;
+
 	private final Map<String, PoolWorker> workers = new LinkedHashMap<>();
 
 	private final Map<PieceId, Waiting> pieces = new HashMap<>();
@@ -67,6 +59,8 @@
 
 	private final Set<Long> overdue = new HashSet<>();
 
+	private final ResultRoom room = new ResultRoom();
+
 	private PoolSpec spec;
 
 	private long lastCall;
@@ -114,7 +108,7 @@
 	public void ask(PieceJob job, PieceAsker asker) {
 		Waiting known = this.pieces.get(job.id());
 		if (known != null) {
-			known.asker = asker;
+			known.replaceAsker(asker);
 			return;
 		}
 		Waiting waiting = new Waiting(job, asker);
@@ -142,9 +136,11 @@
 		if (this.queue.isEmpty()) {
 			return Optional.empty();
 		}
-		this.queue.sort(order(nowMs));
+		this.room.expire(nowMs);
+		CallChooser chooser = new CallChooser(this.spec, this.workers.values(), this.room, nowMs);
+		this.queue.sort(chooser.order());
 		for (PoolWorker worker : idleWorkers(nowMs)) {
-			List<Waiting> chosen = choose(worker, nowMs);
+			List<Waiting> chosen = chooser.choose(worker, this.queue);
 			if (!chosen.isEmpty()) {
 				return Optional.of(start(worker, chosen, nowMs));
 			}
@@ -152,13 +148,6 @@
 		return Optional.empty();
 	}
 
-	private Comparator<Waiting> order(long nowMs) {
-		long soonest = nowMs + (long) this.spec.expectedMs(1) + AFTER_PIECES_MS;
-		return Comparator.<Waiting>comparingInt((w) -> (w.job.objectiveMs() >= soonest) ? 0 : 1)
-			.thenComparingInt((w) -> w.job.priority())
-			.thenComparingLong((w) -> w.job.objectiveMs());
-	}
-
 	private List<PoolWorker> idleWorkers(long nowMs) {
 		List<PoolWorker> idle = new ArrayList<>();
 		double fastest = this.workers.values()
@@ -173,7 +162,8 @@
 				idle.add(worker);
 			}
 		}
-		idle.sort(Comparator.comparingDouble(PoolWorker::pace));
+		idle.sort(Comparator.<PoolWorker>comparingLong((worker) -> Math.round(worker.pace() * PACE_STEPS))
+			.thenComparingLong((worker) -> this.room.taken(worker.entry().id())));
 		return idle;
 	}
 
@@ -183,56 +173,23 @@
 		return this.spec.batch() * Math.max(this.workers.size() - 1, 1);
 	}
 
-	private List<Waiting> choose(PoolWorker worker, long nowMs) {
-		List<Waiting> chosen = new ArrayList<>();
-		Map<String, Integer> leftToOthers = new HashMap<>();
-		for (Waiting waiting : this.queue) {
-			if (chosen.size() >= this.spec.batch()) {
-				break;
-			}
-			if (!waiting.failedAt.contains(worker.entry().id())
-					&& !betterElsewhere(waiting, worker, leftToOthers, nowMs)) {
-				chosen.add(waiting);
-			}
-		}
-		return chosen;
-	}
-
-	private boolean betterElsewhere(Waiting waiting, PoolWorker worker, Map<String, Integer> leftToOthers, long nowMs) {
-		PieceJob job = waiting.job;
-		if (job.resultBytes() < LARGE_RESULT_BYTES || job.failureDomain().equals(worker.entry().failureDomain())) {
-			return false;
-		}
-		Optional<PoolWorker> home = this.workers.values()
-			.stream()
-			.filter((other) -> other.entry().failureDomain().equals(job.failureDomain()))
-			.filter((other) -> other.available(nowMs))
-			.filter((other) -> !waiting.failedAt.contains(other.entry().id()))
-			.min(Comparator.comparingLong(PoolWorker::expectedFreeMs));
-		if (home.isEmpty()) {
-			return false;
-		}
-		int before = leftToOthers.merge(job.failureDomain(), 1, Integer::sum);
-		if (before > this.spec.batch()) {
-			return false;
-		}
-		double readyAt = Math.max(home.get().expectedFreeMs(), nowMs)
-				+ this.spec.expectedMs(this.spec.batch()) * home.get().pace();
-		return readyAt + AFTER_PIECES_MS < job.objectiveMs();
-	}
-
 	private PoolCall start(PoolWorker worker, List<Waiting> chosen, long nowMs) {
 		this.queue.removeAll(chosen);
 		double expectedMs = this.spec.expectedMs(chosen.size()) * Math.max(worker.pace(), 1);
 		worker.onStart(nowMs, expectedMs);
 		this.lastCall++;
-		List<PieceJob> jobs = chosen.stream().map((waiting) -> waiting.job).toList();
-		chosen.forEach((waiting) -> waiting.calls++);
+		List<PieceJob> jobs = chosen.stream().map(Waiting::job).toList();
+		chosen.forEach(Waiting::onCall);
+		this.room.reserve(worker.entry().id(), resultBytes(jobs));
 		PoolCall call = new PoolCall(this.lastCall, worker.entry(), jobs, nowMs, expectedMs);
 		this.calls.put(call.number(), call);
 		return call;
 	}
 
+	private static long resultBytes(List<PieceJob> jobs) {
+		return jobs.stream().mapToLong(PieceJob::resultBytes).sum();
+	}
+
 	/**
 	 * Take the outcomes of a call.
 	 * @param number the call
@@ -245,15 +202,35 @@
 		InvariantViolation.unless(outcomes.size() == call.jobs().size(), "a call's outcomes do not match its pieces");
 		PoolWorker worker = this.workers.get(call.worker().id());
 		if (worker != null) {
-			worker.onDone(nowMs - call.startedMs(), this.spec.expectedMs(call.jobs().size()));
+			long worked = outcomes.stream().filter((outcome) -> outcome.status() == PieceOutcome.Status.MADE).count();
+			if (worked > 0) {
+				worker.onDone(nowMs - call.startedMs(), this.spec.expectedMs((int) worked));
+			}
+		}
+		boolean full = outcomes.stream().anyMatch((outcome) -> outcome.status() == PieceOutcome.Status.NO_ROOM);
+		if (worker != null && full) {
+			worker.onNoRoom(nowMs + NO_ROOM_PAUSE_MS);
 		}
 		List<String> unused = new ArrayList<>();
 		for (int i = 0; i < outcomes.size(); i++) {
-			onOutcome(call, call.jobs().get(i), outcomes.get(i), unused);
+			PieceJob job = call.jobs().get(i);
+			if (outcomes.get(i).status() == PieceOutcome.Status.MADE) {
+				this.room.hold(call.worker().id(), outcomes.get(i).handle(), job.resultBytes(),
+						nowMs + this.spec.handleTtlMs());
+			}
+			onOutcome(call, job, outcomes.get(i), unused);
 		}
 		return unused;
 	}
 
+	/**
+	 * Take note that results are given back to their makers.
+	 * @param handles the results
+	 */
+	public void release(List<String> handles) {
+		handles.forEach(this.room::release);
+	}
+
 	private void onOutcome(PoolCall call, PieceJob job, PieceOutcome outcome, List<String> unused) {
 		Waiting waiting = this.pieces.get(job.id());
 		if (waiting == null) {
@@ -264,7 +241,11 @@
 		}
 		switch (outcome.status()) {
 			case MADE, LATE, INPUT_GONE -> settle(waiting, outcome);
-			case NO_ROOM, FAILED -> tryAgain(waiting, call.worker().id(), outcome);
+			case NO_ROOM -> {
+				waiting.onNoCall();
+				enqueue(waiting);
+			}
+			case FAILED -> tryAgain(waiting, call.worker().id(), outcome);
 		}
 	}
 
@@ -287,7 +268,7 @@
 				tryAgain(waiting, call.worker().id(), failed);
 			}
 			else if (waiting != null) {
-				waiting.calls--;
+				waiting.onNoCall();
 				enqueue(waiting);
 			}
 		}
@@ -296,6 +277,7 @@
 	private PoolCall end(long number) {
 		PoolCall call = InvariantViolation.present(this.calls.remove(number), "an unknown call ended");
 		this.overdue.remove(number);
+		this.room.unreserve(call.worker().id(), resultBytes(call.jobs()));
 		PoolWorker worker = this.workers.get(call.worker().id());
 		if (worker != null) {
 			worker.onEnd();
@@ -304,14 +286,12 @@
 	}
 
 	private void tryAgain(Waiting waiting, String failedAt, PieceOutcome outcome) {
-		waiting.failedAt.add(failedAt);
-		if (waiting.calls >= MAX_CALLS) {
+		waiting.onFailedAt(failedAt);
+		if (waiting.calls() >= MAX_CALLS) {
 			settle(waiting, outcome);
 			return;
 		}
-		if (waiting.failedAt.containsAll(this.workers.keySet())) {
-			waiting.failedAt.clear();
-		}
+		waiting.forgetFailuresIfAll(this.workers.keySet());
 		enqueue(waiting);
 	}
 
@@ -322,9 +302,9 @@
 	}
 
 	private void settle(Waiting waiting, PieceOutcome outcome) {
-		this.pieces.remove(waiting.job.id());
+		this.pieces.remove(waiting.job().id());
 		this.queue.remove(waiting);
-		waiting.asker.onOutcome(waiting.job.id(), outcome);
+		waiting.settle(outcome);
 	}
 
 	/**
@@ -336,7 +316,7 @@
 		PieceOutcome late = PieceOutcome.notMade(PieceOutcome.Status.LATE);
 		double shortestMs = this.spec.expectedMs(1);
 		for (Waiting waiting : new ArrayList<>(this.queue)) {
-			if (nowMs + shortestMs > waiting.job.deadlineMs()) {
+			if (nowMs + shortestMs > waiting.job().deadlineMs()) {
 				settle(waiting, late);
 			}
 		}
@@ -355,8 +335,8 @@
 		}
 		for (PieceJob job : call.jobs()) {
 			Waiting waiting = this.pieces.get(job.id());
-			if (waiting != null && waiting.calls < MAX_CALLS) {
-				waiting.failedAt.add(call.worker().id());
+			if (waiting != null && waiting.calls() < MAX_CALLS) {
+				waiting.onFailedAt(call.worker().id());
 				enqueue(waiting);
 			}
 		}
@@ -378,22 +358,4 @@
 		return this.calls.size();
 	}
 
-	/** A piece that was asked for and has no outcome yet. */
-	private static final class Waiting {
-
-		private final PieceJob job;
-
-		private final Set<String> failedAt = new HashSet<>();
-
-		private PieceAsker asker;
-
-		private int calls;
-
-		private Waiting(PieceJob job, PieceAsker asker) {
-			this.job = job;
-			this.asker = asker;
-		}
-
-	}
-
 }
--- a/core/src/main/java/org/tallycart/core/pool/PoolWorker.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolWorker.java
@@ -81,6 +81,10 @@
 		this.pace = Math.max(this.pace, tookMs / expectedMs);
 	}
 
+	void onNoRoom(long untilMs) {
+		this.pausedUntilMs = Math.max(this.pausedUntilMs, untilMs);
+	}
+
 	void onFailed(long nowMs) {
 		this.pausedUntilMs = nowMs + this.pauseMs;
 		this.pauseMs = Math.min(this.pauseMs * 2, LONGEST_PAUSE_MS);
--- a/core/src/main/java/org/tallycart/core/pool/StagePlan.java
+++ b/core/src/main/java/org/tallycart/core/pool/StagePlan.java
@@ -18,6 +18,9 @@
  */
 public final class StagePlan {
 
+	/** A result of this size fills a maker's room a few times over, in bytes. */
+	private static final long LARGE_RESULT_BYTES = 500_000;
+
 	private final List<StageSpec> stages;
 
 	private final @Nullable String[][] handles;
@@ -42,20 +45,44 @@
 	}
 
 	/**
-	 * Start the stages whose inputs are all made.
+	 * Start the stages whose inputs are all made. Large results that only the request
+	 * itself reads are made last, since their makers have little room to keep them.
 	 * @return the numbers of the stages that have pieces and can be made now
 	 */
 	public List<Integer> start() {
 		List<Integer> ready = new ArrayList<>();
+		startAll(ready, false);
+		startAll(ready, true);
+		return ready;
+	}
+
+	private void startAll(List<Integer> ready, boolean held) {
 		for (int i = 0; i < this.stages.size(); i++) {
-			if (!this.started[i] && this.stages.get(i).after().stream().allMatch(this::complete)) {
+			boolean inputsMade = this.stages.get(i).after().stream().allMatch(this::complete);
+			if (!this.started[i] && inputsMade && held == canWait(i) && (!held || othersStarted(i))) {
 				this.started[i] = true;
 				if (this.handles[i].length > 0) {
 					ready.add(i);
 				}
 			}
 		}
-		return ready;
+	}
+
+	private boolean canWait(int number) {
+		return this.stages.get(number).resultBytes() >= LARGE_RESULT_BYTES && isFinal(number);
+	}
+
+	private boolean othersStarted(int number) {
+		for (int i = 0; i < this.stages.size(); i++) {
+			if (i != number && !this.started[i] && this.handles[i].length > 0 && !canWait(i)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private boolean isFinal(int number) {
+		return this.stages.stream().noneMatch((stage) -> stage.after().contains(number));
 	}
 
 	/**
@@ -67,6 +94,43 @@
 		return this.handles[stage].length;
 	}
 
+	/**
+	 * Return the size of all inputs of a stage's pieces.
+	 * @param stage its number
+	 * @return bytes that each piece reads
+	 */
+	public long inputBytes(int stage) {
+		long sum = 0;
+		for (int before : this.stages.get(stage).after()) {
+			sum += this.handles[before].length * this.stages.get(before).resultBytes();
+		}
+		return sum;
+	}
+
+	/**
+	 * Return whether other stages read a stage's results.
+	 * @param stage its number
+	 * @return false if only the request itself reads them
+	 */
+	public boolean hasReaders(int stage) {
+		return !isFinal(stage);
+	}
+
+	/**
+	 * Return how many stages follow a stage, one after the other.
+	 * @param stage its number
+	 * @return the length of the longest chain behind it that has pieces
+	 */
+	public int stagesBehind(int stage) {
+		int longest = 0;
+		for (int i = 0; i < this.stages.size(); i++) {
+			if (this.stages.get(i).after().contains(stage) && this.handles[i].length > 0) {
+				longest = Math.max(longest, 1 + stagesBehind(i));
+			}
+		}
+		return longest;
+	}
+
 	/**
 	 * Return the inputs of a stage's pieces.
 	 * @param stage its number
@@ -120,8 +184,7 @@
 	public List<String> finalHandles() {
 		List<Integer> last = new ArrayList<>();
 		for (int i = 0; i < this.stages.size(); i++) {
-			int number = i;
-			if (this.stages.stream().noneMatch((stage) -> stage.after().contains(number))) {
+			if (isFinal(i)) {
 				last.add(i);
 			}
 		}
@@ -141,19 +204,19 @@
 	}
 
 	/**
-	 * Take back the results that no piece needs any more and that the request itself does
-	 * not read.
-	 * @return their handles; each is returned once
+	 * Take back the stages whose results no piece needs any more and that the request
+	 * itself does not read.
+	 * @return their numbers; each is returned once
 	 */
-	public List<String> takeSpent() {
-		List<String> spent = new ArrayList<>();
+	public List<Integer> takeSpent() {
+		List<Integer> fresh = new ArrayList<>();
 		for (int i = 0; i < this.stages.size(); i++) {
 			if (!this.spent[i] && complete(i) && followersComplete(i)) {
 				this.spent[i] = true;
-				spent.addAll(handlesOf(List.of(i)));
+				fresh.add(i);
 			}
 		}
-		return spent;
+		return fresh;
 	}
 
 	private boolean followersComplete(int number) {
@@ -170,10 +233,10 @@
 	}
 
 	/**
-	 * Take back all results that have not been taken back.
-	 * @return their handles
+	 * Take back all stages that have not been taken back.
+	 * @return their numbers
 	 */
-	public List<String> takeRest() {
+	public List<Integer> takeRest() {
 		List<Integer> rest = new ArrayList<>();
 		for (int i = 0; i < this.stages.size(); i++) {
 			if (!this.spent[i]) {
@@ -181,7 +244,16 @@
 				rest.add(i);
 			}
 		}
-		return handlesOf(rest);
+		return rest;
+	}
+
+	/**
+	 * Return the results of a stage that are there.
+	 * @param stage its number
+	 * @return the handles
+	 */
+	public List<String> results(int stage) {
+		return handlesOf(List.of(stage));
 	}
 
 	/** Forget all results, so that every piece is made again. */
--- /dev/null
+++ b/core/src/main/java/org/tallycart/core/pool/Waiting.java
@@ -0,0 +1,71 @@
+package org.tallycart.core.pool;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * A piece that was asked for and has no outcome yet.
+ * <p>
+ * Not thread-safe: guarded by {@link PoolDispatcher}.
+ */
+final class Waiting {
+
+	private final PieceJob job;
+
+	private final Set<String> failedAt = new HashSet<>();
+
+	private PieceAsker asker;
+
+	private int calls;
+
+	Waiting(PieceJob job, PieceAsker asker) {
+		this.job = job;
+		this.asker = asker;
+	}
+
+	PieceJob job() {
+		return this.job;
+	}
+
+	void replaceAsker(PieceAsker other) {
+		this.asker = other;
+	}
+
+	void settle(PieceOutcome outcome) {
+		this.asker.onOutcome(this.job.id(), outcome);
+	}
+
+	// Whether the piece may go to a worker: not to one at which it failed before.
+	boolean mayGoTo(String worker) {
+		return !this.failedAt.contains(worker);
+	}
+
+	void onFailedAt(String worker) {
+		this.failedAt.add(worker);
+	}
+
+	void forgetFailuresIfAll(Set<String> workers) {
+		if (this.failedAt.containsAll(workers)) {
+			this.failedAt.clear();
+		}
+	}
+
+	int calls() {
+		return this.calls;
+	}
+
+	void onCall() {
+		this.calls++;
+	}
+
+	// Takes a call back that never began.
+	void onNoCall() {
+		this.calls--;
+	}
+
+	boolean sameStage(Waiting other) {
+		return this.job.id().stage() == other.job.id().stage()
+				&& this.job.id().requestId().equals(other.job.id().requestId());
+	}
+
+}
--- a/core/src/main/java/org/tallycart/core/serving/PoolSpec.java
+++ b/core/src/main/java/org/tallycart/core/serving/PoolSpec.java
@@ -8,10 +8,12 @@
  * @param batch pieces in one call, at most
  * @param callMs what a call costs whatever it holds, in milliseconds
  * @param pieceMs what a piece adds, in milliseconds; differs somewhat by stage
+ * @param roomBytes room for results, in bytes
  * @param handleTtlMs how long a result is kept, in milliseconds
  * @since 0.1
  */
-public record PoolSpec(int slots, int queue, int batch, double callMs, double pieceMs, long handleTtlMs) {
+public record PoolSpec(int slots, int queue, int batch, double callMs, double pieceMs, long roomBytes,
+		long handleTtlMs) {
 
 	/**
 	 * Return how long a call is expected to take at a worker of ordinary speed.
--- a/core/src/main/java/org/tallycart/core/serving/Prompt.java
+++ b/core/src/main/java/org/tallycart/core/serving/Prompt.java
@@ -12,6 +12,14 @@
  */
 public record Prompt(String model, int promptTokens, List<PromptPart> parts) {
 
+	/**
+	 * Return what names the prompt's session: the last shared part.
+	 * @return the part's id, or an empty text where nothing is shared
+	 */
+	public String session() {
+		return this.parts.isEmpty() ? "" : this.parts.get(this.parts.size() - 1).id();
+	}
+
 	/**
 	 * Return how many tokens are in shared parts.
 	 * @return the sum
--- a/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
+++ b/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
@@ -74,10 +74,7 @@
 	}
 
 	private static String subject(Prompt prompt) {
-		if (prompt.parts().isEmpty()) {
-			return prompt.model();
-		}
-		return prompt.model() + "/" + prompt.parts().get(prompt.parts().size() - 1).id();
+		return prompt.model() + "/" + prompt.session();
 	}
 
 	private static double waitMs(UpstreamState state, long nowMs) {
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -114,7 +114,7 @@
 		this.store = new StoreLink(objects, this.loop, this.log, this.config, this.directory, this.pieces::onChange);
 		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this.mesh::liveVms);
 		Serving serving = new Serving(settings.failureDomain(), this.loop, this.log, this.http, this.directory,
-				this.pieces, returns, this.budgets);
+				this.pieces, this.budgets);
 		this.desk = new FrontDesk(serving, this.config);
 	}
 
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -26,6 +26,8 @@
 import org.tallycart.wire.message.PieceAnswers;
 import org.tallycart.wire.message.PieceAsk;
 import org.tallycart.wire.message.PieceAsks;
+import org.tallycart.wire.message.PieceRelease;
+import org.tallycart.wire.message.PieceReleases;
 import org.tallycart.wire.message.PieceWithdrawal;
 import org.tallycart.wire.message.PieceWithdrawals;
 
@@ -64,6 +66,8 @@
 
 	private final Map<String, PieceWithdrawals.Builder> withdrawalsToSend = new HashMap<>();
 
+	private final Map<String, PieceReleases.Builder> releasesToSend = new HashMap<>();
+
 	private boolean sendPlanned;
 
 	private Optional<PeerMesh> mesh = Optional.empty();
@@ -177,6 +181,37 @@
 		}
 	}
 
+	/**
+	 * Give results back. They go through the pool's dispatcher, which thereby knows how
+	 * much room its workers have.
+	 * @param service the pool
+	 * @param handles the results
+	 */
+	public void release(String service, List<String> handles) {
+		if (handles.isEmpty()) {
+			return;
+		}
+		String owner = dispatcher(service);
+		if (owner.equals(this.vm)) {
+			releaseHere(service, handles);
+		}
+		else {
+			this.releasesToSend.computeIfAbsent(owner, (key) -> PieceReleases.newBuilder())
+				.addReleases(PieceRelease.newBuilder().setService(service).addAllHandles(handles));
+			planSend();
+		}
+	}
+
+	private void releaseHere(String service, List<String> handles) {
+		PoolDriver driver = this.drivers.get(service);
+		if (driver != null) {
+			driver.release(handles);
+		}
+		else {
+			this.returns.give(handles);
+		}
+	}
+
 	private void planSend() {
 		if (!this.sendPlanned) {
 			this.sendPlanned = true;
@@ -189,10 +224,13 @@
 		this.mesh.ifPresent((peers) -> {
 			this.withdrawalsToSend
 				.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceWithdrawals(message)));
+			this.releasesToSend
+				.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceReleases(message)));
 			this.asksToSend.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceAsks(message)));
 			this.answersToSend.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceAnswers(message)));
 		});
 		this.withdrawalsToSend.clear();
+		this.releasesToSend.clear();
 		this.asksToSend.clear();
 		this.answersToSend.clear();
 	}
@@ -203,6 +241,9 @@
 			case PIECE_ASKS -> message.getPieceAsks().getAsksList().forEach((ask) -> onAsk(from, ask));
 			case PIECE_ANSWERS -> message.getPieceAnswers().getAnswersList().forEach(this::onAnswer);
 			case PIECE_WITHDRAWALS -> message.getPieceWithdrawals().getWithdrawalsList().forEach(this::onWithdrawal);
+			case PIECE_RELEASES -> message.getPieceReleases()
+				.getReleasesList()
+				.forEach((release) -> releaseHere(release.getService(), release.getHandlesList()));
 			default -> {
 				// Messages of other programs and of newer versions are not for this
 				// service.
--- a/node/src/main/java/org/tallycart/node/piece/PieceWire.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceWire.java
@@ -31,13 +31,16 @@
 			.setPriority(job.priority())
 			.setFailureDomain(job.failureDomain())
 			.setResultBytes(job.resultBytes())
+			.setTogether(job.together())
+			.setMovedBytes(job.movedBytes())
 			.build();
 	}
 
 	static PieceJob decode(PieceAsk ask, long nowMs) {
 		PieceId id = new PieceId(ask.getRequestId(), ask.getStage(), ask.getPiece());
 		return new PieceJob(id, ask.getService(), ask.getKey(), ask.getInputsList(), nowMs + ask.getDeadlineInMs(),
-				nowMs + ask.getObjectiveInMs(), ask.getPriority(), ask.getFailureDomain(), ask.getResultBytes());
+				nowMs + ask.getObjectiveInMs(), ask.getPriority(), ask.getFailureDomain(), ask.getResultBytes(),
+				ask.getTogether(), ask.getMovedBytes());
 	}
 
 	static PieceAnswer encode(PieceId id, PieceOutcome outcome) {
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -73,6 +73,12 @@
 		planPump();
 	}
 
+	void release(List<String> handles) {
+		this.dispatcher.release(handles);
+		this.returns.give(handles);
+		planPump();
+	}
+
 	void withdraw(PieceId id) {
 		this.dispatcher.withdraw(id);
 	}
@@ -145,7 +151,7 @@
 		}
 		long made = outcomes.get().stream().filter((o) -> o.status() == PieceOutcome.Status.MADE).count();
 		logEnd(call, "made " + made);
-		this.returns.give(this.dispatcher.onAnswer(call.number(), outcomes.get(), now));
+		release(this.dispatcher.onAnswer(call.number(), outcomes.get(), now));
 	}
 
 	private void logEnd(PoolCall call, String outcome) {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 import org.tallycart.core.pool.PieceOutcome;
+import org.tallycart.core.serving.Prompt;
 import org.tallycart.core.serving.RequestKind;
 import org.tallycart.core.serving.SendOptions;
 import org.tallycart.core.serving.UpstreamReply;
@@ -157,7 +158,7 @@
 		this.serving.log()
 			.request(EventCode.UPSTREAM_CHOSEN, this.plan.request().id(), "upstream", upstream.entry().id(), "domain",
 					upstream.entry().failureDomain(), "send", this.sends, "in_flight", upstream.inFlight(),
-					"error_rate", upstream.errorRate(), "left_ms", left, "fetch_from",
+					"error_rate", upstream.errorRate(), "left_ms", left, "session", session(), "fetch_from",
 					choice.get().fetchFrom().map((from) -> from.entry().id()).orElse("none"));
 		Attempt fresh = new Attempt(this.serving, this.plan, upstream, this);
 		this.attempt = fresh;
@@ -165,6 +166,10 @@
 		fresh.send(options(choice.get(), left));
 	}
 
+	private String session() {
+		return this.plan.request().prompt().map(Prompt::session).orElse("none");
+	}
+
 	private Optional<UpstreamChoice> choose() {
 		List<UpstreamState> candidates = this.serving.directory().candidates(this.plan.service(), now());
 		List<UpstreamState> fresh = new ArrayList<>(candidates);
--- a/node/src/main/java/org/tallycart/node/request/Serving.java
+++ b/node/src/main/java/org/tallycart/node/request/Serving.java
@@ -4,7 +4,6 @@
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
-import org.tallycart.node.piece.HandleReturns;
 import org.tallycart.node.piece.PieceService;
 
 /**
@@ -16,10 +15,9 @@
  * @param http calls upstreams
  * @param directory the upstreams
  * @param pieces gets stage work made
- * @param returns takes results that are not needed any more
  * @param budgets limits repeats
  * @since 0.1
  */
 public record Serving(String failureDomain, Loop loop, NodeLog log, HttpClient http, UpstreamDirectory directory,
-		PieceService pieces, HandleReturns returns, RetryBudgets budgets) {
+		PieceService pieces, RetryBudgets budgets) {
 }
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -1,7 +1,9 @@
 package org.tallycart.node.request;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.tallycart.core.pool.PieceId;
@@ -10,6 +12,7 @@
 import org.tallycart.core.pool.StagePlan;
 import org.tallycart.core.serving.StageSpec;
 import org.tallycart.core.upstream.EngineChooser;
+import org.tallycart.platform.http.PieceCodec;
 import org.tallycart.runtime.event.EventCode;
 
 /**
@@ -23,6 +26,9 @@
 	/** How often all pieces may be made again after an input was gone. */
 	private static final int MAX_REMAKES = 2;
 
+	/** What a stage usually takes, in milliseconds: a wait for a call, and the call. */
+	private static final long STAGE_MS = 400;
+
 	private final Serving serving;
 
 	private final RequestPlan plan;
@@ -33,6 +39,8 @@
 
 	private final Set<PieceId> waiting = new HashSet<>();
 
+	private String engineDomain = "";
+
 	private int remakes;
 
 	private boolean dropped;
@@ -45,6 +53,9 @@
 	}
 
 	void start() {
+		if (this.engineDomain.isEmpty()) {
+			this.engineDomain = findEngineDomain();
+		}
 		for (int stage : this.stages.start()) {
 			ask(stage);
 		}
@@ -56,21 +67,42 @@
 	private void ask(int stage) {
 		StageSpec spec = this.plan.route().stages().get(stage);
 		List<String> inputs = this.stages.inputs(stage);
+		long inputBytes = this.stages.inputBytes(stage);
+		boolean inputsWeigh = inputBytes > spec.resultBytes();
+		String domain = inputsWeigh ? domainOf(inputs) : this.engineDomain;
+		long resultMoved = this.stages.hasReaders(stage) ? 0 : spec.resultBytes();
 		String dispatcher = "";
 		for (int piece = 0; piece < this.stages.pieces(stage); piece++) {
 			PieceId id = new PieceId(this.plan.request().id(), stage, piece);
 			this.waiting.add(id);
 			PieceJob job = new PieceJob(id, spec.service(), this.plan.request().pieceKey(), inputs, this.plan.endMs(),
-					this.plan.objectiveMs(), this.plan.priority(), wantedDomain(), spec.resultBytes());
+					this.plan.objectiveMs() - this.stages.stagesBehind(stage) * STAGE_MS, this.plan.priority(), domain,
+					spec.resultBytes(), this.stages.hasReaders(stage), Math.max(inputBytes, resultMoved));
 			dispatcher = this.serving.pieces().ask(job, this::onOutcome);
 		}
 		this.serving.log()
 			.request(EventCode.PIECES_ASKED, this.plan.request().id(), "stage", stage, "pieces",
-					this.stages.pieces(stage), "service", spec.service(), "dispatcher", dispatcher);
+					this.stages.pieces(stage), "service", spec.service(), "domain", domain, "dispatcher", dispatcher);
 	}
 
-	// Results are wanted where the engine is that will probably read them.
-	private String wantedDomain() {
+	// Where most of some results are.
+	private String domainOf(List<String> handles) {
+		Map<String, Integer> counts = new HashMap<>();
+		for (String handle : handles) {
+			PieceCodec.maker(handle)
+				.toJavaOptional()
+				.flatMap((maker) -> this.serving.directory().at(maker))
+				.ifPresent((maker) -> counts.merge(maker.entry().failureDomain(), 1, Integer::sum));
+		}
+		return counts.entrySet()
+			.stream()
+			.max(Map.Entry.comparingByValue())
+			.map(Map.Entry::getKey)
+			.orElse(this.engineDomain);
+	}
+
+	// Where the engine is that will probably read the last results.
+	private String findEngineDomain() {
 		long now = this.serving.loop().nowMs();
 		return this.plan.request()
 			.prompt()
@@ -87,7 +119,7 @@
 				onMade(id, outcome.handle());
 			}
 			else {
-				this.serving.returns().give(List.of(outcome.handle()));
+				release(id.stage(), List.of(outcome.handle()));
 			}
 		}
 		else if (wanted) {
@@ -97,7 +129,7 @@
 
 	private void onMade(PieceId id, String handle) {
 		this.stages.made(id.stage(), id.piece(), handle);
-		this.serving.returns().give(this.stages.takeSpent());
+		this.stages.takeSpent().forEach((stage) -> release(stage, this.stages.results(stage)));
 		start();
 	}
 
@@ -121,7 +153,7 @@
 		}
 		this.remakes++;
 		withdrawAll();
-		this.serving.returns().give(this.stages.takeRest());
+		giveBack();
 		this.stages.reset();
 		start();
 		return true;
@@ -129,7 +161,11 @@
 
 	/** Gives results back that the request has read. */
 	void giveBack() {
-		this.serving.returns().give(this.stages.takeRest());
+		this.stages.takeRest().forEach((stage) -> release(stage, this.stages.results(stage)));
+	}
+
+	private void release(int stage, List<String> handles) {
+		this.serving.pieces().release(this.plan.route().stages().get(stage).service(), handles);
 	}
 
 	/** Drops all work: pieces that wait are withdrawn, results are given back. */
--- a/wire/src/main/java/org/tallycart/wire/message/Envelope.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Envelope.java
@@ -79,6 +79,7 @@
     PIECE_ASKS(41),
     PIECE_ANSWERS(42),
     PIECE_WITHDRAWALS(43),
+    PIECE_RELEASES(44),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -116,6 +117,7 @@
         case 41: return PIECE_ASKS;
         case 42: return PIECE_ANSWERS;
         case 43: return PIECE_WITHDRAWALS;
+        case 44: return PIECE_RELEASES;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -842,6 +844,37 @@
     return org.tallycart.wire.message.PieceWithdrawals.getDefaultInstance();
   }
 
+  public static final int PIECE_RELEASES_FIELD_NUMBER = 44;
+  /**
+   * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+   * @return Whether the pieceReleases field is set.
+   */
+  @java.lang.Override
+  public boolean hasPieceReleases() {
+    return bodyCase_ == 44;
+  }
+  /**
+   * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+   * @return The pieceReleases.
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.PieceReleases getPieceReleases() {
+    if (bodyCase_ == 44) {
+       return (org.tallycart.wire.message.PieceReleases) body_;
+    }
+    return org.tallycart.wire.message.PieceReleases.getDefaultInstance();
+  }
+  /**
+   * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.PieceReleasesOrBuilder getPieceReleasesOrBuilder() {
+    if (bodyCase_ == 44) {
+       return (org.tallycart.wire.message.PieceReleases) body_;
+    }
+    return org.tallycart.wire.message.PieceReleases.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -931,6 +964,9 @@
     if (bodyCase_ == 43) {
       output.writeMessage(43, (org.tallycart.wire.message.PieceWithdrawals) body_);
     }
+    if (bodyCase_ == 44) {
+      output.writeMessage(44, (org.tallycart.wire.message.PieceReleases) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1034,6 +1070,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(43, (org.tallycart.wire.message.PieceWithdrawals) body_);
     }
+    if (bodyCase_ == 44) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(44, (org.tallycart.wire.message.PieceReleases) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1150,6 +1190,10 @@
         if (!getPieceWithdrawals()
             .equals(other.getPieceWithdrawals())) return false;
         break;
+      case 44:
+        if (!getPieceReleases()
+            .equals(other.getPieceReleases())) return false;
+        break;
       case 0:
       default:
     }
@@ -1259,6 +1303,10 @@
         hash = (37 * hash) + PIECE_WITHDRAWALS_FIELD_NUMBER;
         hash = (53 * hash) + getPieceWithdrawals().hashCode();
         break;
+      case 44:
+        hash = (37 * hash) + PIECE_RELEASES_FIELD_NUMBER;
+        hash = (53 * hash) + getPieceReleases().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1462,6 +1510,9 @@
       if (pieceWithdrawalsBuilder_ != null) {
         pieceWithdrawalsBuilder_.clear();
       }
+      if (pieceReleasesBuilder_ != null) {
+        pieceReleasesBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1598,6 +1649,10 @@
           pieceWithdrawalsBuilder_ != null) {
         result.body_ = pieceWithdrawalsBuilder_.build();
       }
+      if (bodyCase_ == 44 &&
+          pieceReleasesBuilder_ != null) {
+        result.body_ = pieceReleasesBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1710,6 +1765,10 @@
           mergePieceWithdrawals(other.getPieceWithdrawals());
           break;
         }
+        case PIECE_RELEASES: {
+          mergePieceReleases(other.getPieceReleases());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1903,6 +1962,13 @@
               bodyCase_ = 43;
               break;
             } // case 346
+            case 354: {
+              input.readMessage(
+                  internalGetPieceReleasesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 44;
+              break;
+            } // case 354
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4959,6 +5025,146 @@
       return pieceWithdrawalsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.PieceReleases, org.tallycart.wire.message.PieceReleases.Builder, org.tallycart.wire.message.PieceReleasesOrBuilder> pieceReleasesBuilder_;
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     * @return Whether the pieceReleases field is set.
+     */
+    @java.lang.Override
+    public boolean hasPieceReleases() {
+      return bodyCase_ == 44;
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     * @return The pieceReleases.
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.PieceReleases getPieceReleases() {
+      if (pieceReleasesBuilder_ == null) {
+        if (bodyCase_ == 44) {
+          return (org.tallycart.wire.message.PieceReleases) body_;
+        }
+        return org.tallycart.wire.message.PieceReleases.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 44) {
+          return pieceReleasesBuilder_.getMessage();
+        }
+        return org.tallycart.wire.message.PieceReleases.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    public Builder setPieceReleases(org.tallycart.wire.message.PieceReleases value) {
+      if (pieceReleasesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        pieceReleasesBuilder_.setMessage(value);
+      }
+      bodyCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    public Builder setPieceReleases(
+        org.tallycart.wire.message.PieceReleases.Builder builderForValue) {
+      if (pieceReleasesBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        pieceReleasesBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    public Builder mergePieceReleases(org.tallycart.wire.message.PieceReleases value) {
+      if (pieceReleasesBuilder_ == null) {
+        if (bodyCase_ == 44 &&
+            body_ != org.tallycart.wire.message.PieceReleases.getDefaultInstance()) {
+          body_ = org.tallycart.wire.message.PieceReleases.newBuilder((org.tallycart.wire.message.PieceReleases) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 44) {
+          pieceReleasesBuilder_.mergeFrom(value);
+        } else {
+          pieceReleasesBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 44;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    public Builder clearPieceReleases() {
+      if (pieceReleasesBuilder_ == null) {
+        if (bodyCase_ == 44) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 44) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        pieceReleasesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    public org.tallycart.wire.message.PieceReleases.Builder getPieceReleasesBuilder() {
+      return internalGetPieceReleasesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.PieceReleasesOrBuilder getPieceReleasesOrBuilder() {
+      if ((bodyCase_ == 44) && (pieceReleasesBuilder_ != null)) {
+        return pieceReleasesBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 44) {
+          return (org.tallycart.wire.message.PieceReleases) body_;
+        }
+        return org.tallycart.wire.message.PieceReleases.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.PieceReleases, org.tallycart.wire.message.PieceReleases.Builder, org.tallycart.wire.message.PieceReleasesOrBuilder> 
+        internalGetPieceReleasesFieldBuilder() {
+      if (pieceReleasesBuilder_ == null) {
+        if (!(bodyCase_ == 44)) {
+          body_ = org.tallycart.wire.message.PieceReleases.getDefaultInstance();
+        }
+        pieceReleasesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tallycart.wire.message.PieceReleases, org.tallycart.wire.message.PieceReleases.Builder, org.tallycart.wire.message.PieceReleasesOrBuilder>(
+                (org.tallycart.wire.message.PieceReleases) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 44;
+      onChanged();
+      return pieceReleasesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.Envelope)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
@@ -354,5 +354,20 @@
    */
   org.tallycart.wire.message.PieceWithdrawalsOrBuilder getPieceWithdrawalsOrBuilder();
 
+  /**
+   * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+   * @return Whether the pieceReleases field is set.
+   */
+  boolean hasPieceReleases();
+  /**
+   * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+   * @return The pieceReleases.
+   */
+  org.tallycart.wire.message.PieceReleases getPieceReleases();
+  /**
+   * <code>.tallycart.wire.PieceReleases piece_releases = 44;</code>
+   */
+  org.tallycart.wire.message.PieceReleasesOrBuilder getPieceReleasesOrBuilder();
+
   org.tallycart.wire.message.Envelope.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/PieceAsk.java
+++ b/wire/src/main/java/org/tallycart/wire/message/PieceAsk.java
@@ -310,10 +310,25 @@
     }
   }
 
-  public static final int RESULT_BYTES_FIELD_NUMBER = 11;
+  public static final int MOVED_BYTES_FIELD_NUMBER = 11;
+  private long movedBytes_ = 0L;
+  /**
+   * <pre>
+   * What crosses failure domains if the piece is made in another one.
+   * </pre>
+   *
+   * <code>uint64 moved_bytes = 11;</code>
+   * @return The movedBytes.
+   */
+  @java.lang.Override
+  public long getMovedBytes() {
+    return movedBytes_;
+  }
+
+  public static final int RESULT_BYTES_FIELD_NUMBER = 12;
   private long resultBytes_ = 0L;
   /**
-   * <code>uint64 result_bytes = 11;</code>
+   * <code>uint64 result_bytes = 12;</code>
    * @return The resultBytes.
    */
   @java.lang.Override
@@ -321,6 +336,21 @@
     return resultBytes_;
   }
 
+  public static final int TOGETHER_FIELD_NUMBER = 13;
+  private boolean together_ = false;
+  /**
+   * <pre>
+   * Whether the stage's results are read together, so that one worker should make them.
+   * </pre>
+   *
+   * <code>bool together = 13;</code>
+   * @return The together.
+   */
+  @java.lang.Override
+  public boolean getTogether() {
+    return together_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -365,8 +395,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 10, failureDomain_);
     }
+    if (movedBytes_ != 0L) {
+      output.writeUInt64(11, movedBytes_);
+    }
     if (resultBytes_ != 0L) {
-      output.writeUInt64(11, resultBytes_);
+      output.writeUInt64(12, resultBytes_);
+    }
+    if (together_ != false) {
+      output.writeBool(13, together_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -412,9 +448,17 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(10, failureDomain_);
     }
+    if (movedBytes_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, movedBytes_);
+    }
     if (resultBytes_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(11, resultBytes_);
+        .computeUInt64Size(12, resultBytes_);
+    }
+    if (together_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, together_);
     }
     return size;
   }
@@ -460,8 +504,12 @@
         != other.getPriority()) return false;
     if (!getFailureDomain()
         .equals(other.getFailureDomain())) return false;
+    if (getMovedBytes()
+        != other.getMovedBytes()) return false;
     if (getResultBytes()
         != other.getResultBytes()) return false;
+    if (getTogether()
+        != other.getTogether()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -495,9 +543,15 @@
     hash = (53 * hash) + getPriority();
     hash = (37 * hash) + FAILURE_DOMAIN_FIELD_NUMBER;
     hash = (53 * hash) + getFailureDomain().hashCode();
+    hash = (37 * hash) + MOVED_BYTES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMovedBytes());
     hash = (37 * hash) + RESULT_BYTES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getResultBytes());
+    hash = (37 * hash) + TOGETHER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getTogether());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -644,7 +698,9 @@
       objectiveInMs_ = 0;
       priority_ = 0;
       failureDomain_ = "";
+      movedBytes_ = 0L;
       resultBytes_ = 0L;
+      together_ = false;
       return this;
     }
 
@@ -710,8 +766,14 @@
         result.failureDomain_ = failureDomain_;
       }
       if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.movedBytes_ = movedBytes_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
         result.resultBytes_ = resultBytes_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.together_ = together_;
+      }
     }
 
     @java.lang.Override
@@ -771,9 +833,15 @@
         bitField0_ |= 0x00000200;
         onChanged();
       }
+      if (other.getMovedBytes() != 0L) {
+        setMovedBytes(other.getMovedBytes());
+      }
       if (other.getResultBytes() != 0L) {
         setResultBytes(other.getResultBytes());
       }
+      if (other.getTogether() != false) {
+        setTogether(other.getTogether());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -849,10 +917,20 @@
               break;
             } // case 82
             case 88: {
-              resultBytes_ = input.readUInt64();
+              movedBytes_ = input.readUInt64();
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 96: {
+              resultBytes_ = input.readUInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 104: {
+              together_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1441,9 +1519,53 @@
       return this;
     }
 
+    private long movedBytes_ ;
+    /**
+     * <pre>
+     * What crosses failure domains if the piece is made in another one.
+     * </pre>
+     *
+     * <code>uint64 moved_bytes = 11;</code>
+     * @return The movedBytes.
+     */
+    @java.lang.Override
+    public long getMovedBytes() {
+      return movedBytes_;
+    }
+    /**
+     * <pre>
+     * What crosses failure domains if the piece is made in another one.
+     * </pre>
+     *
+     * <code>uint64 moved_bytes = 11;</code>
+     * @param value The movedBytes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMovedBytes(long value) {
+
+      movedBytes_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What crosses failure domains if the piece is made in another one.
+     * </pre>
+     *
+     * <code>uint64 moved_bytes = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMovedBytes() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      movedBytes_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private long resultBytes_ ;
     /**
-     * <code>uint64 result_bytes = 11;</code>
+     * <code>uint64 result_bytes = 12;</code>
      * @return The resultBytes.
      */
     @java.lang.Override
@@ -1451,28 +1573,72 @@
       return resultBytes_;
     }
     /**
-     * <code>uint64 result_bytes = 11;</code>
+     * <code>uint64 result_bytes = 12;</code>
      * @param value The resultBytes to set.
      * @return This builder for chaining.
      */
     public Builder setResultBytes(long value) {
 
       resultBytes_ = value;
-      bitField0_ |= 0x00000400;
+      bitField0_ |= 0x00000800;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 result_bytes = 11;</code>
+     * <code>uint64 result_bytes = 12;</code>
      * @return This builder for chaining.
      */
     public Builder clearResultBytes() {
-      bitField0_ = (bitField0_ & ~0x00000400);
+      bitField0_ = (bitField0_ & ~0x00000800);
       resultBytes_ = 0L;
       onChanged();
       return this;
     }
 
+    private boolean together_ ;
+    /**
+     * <pre>
+     * Whether the stage's results are read together, so that one worker should make them.
+     * </pre>
+     *
+     * <code>bool together = 13;</code>
+     * @return The together.
+     */
+    @java.lang.Override
+    public boolean getTogether() {
+      return together_;
+    }
+    /**
+     * <pre>
+     * Whether the stage's results are read together, so that one worker should make them.
+     * </pre>
+     *
+     * <code>bool together = 13;</code>
+     * @param value The together to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTogether(boolean value) {
+
+      together_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the stage's results are read together, so that one worker should make them.
+     * </pre>
+     *
+     * <code>bool together = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTogether() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      together_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.PieceAsk)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/PieceAskOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/PieceAskOrBuilder.java
@@ -118,8 +118,28 @@
       getFailureDomainBytes();
 
   /**
-   * <code>uint64 result_bytes = 11;</code>
+   * <pre>
+   * What crosses failure domains if the piece is made in another one.
+   * </pre>
+   *
+   * <code>uint64 moved_bytes = 11;</code>
+   * @return The movedBytes.
+   */
+  long getMovedBytes();
+
+  /**
+   * <code>uint64 result_bytes = 12;</code>
    * @return The resultBytes.
    */
   long getResultBytes();
+
+  /**
+   * <pre>
+   * Whether the stage's results are read together, so that one worker should make them.
+   * </pre>
+   *
+   * <code>bool together = 13;</code>
+   * @return The together.
+   */
+  boolean getTogether();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -196,6 +196,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tallycart_wire_PieceWithdrawals_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_PieceRelease_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_PieceRelease_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_PieceReleases_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_PieceReleases_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -205,7 +215,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\016tallycart.wire\"\373\010\n\010Envelop" +
+      "\n\nwire.proto\022\016tallycart.wire\"\264\t\n\010Envelop" +
       "e\022\023\n\013correlation\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\r\n" +
       "\005clock\030\003 \001(\006\022\021\n\tsender_vm\030\004 \001(\t\022\032\n\022sende" +
       "r_incarnation\030\005 \001(\004\022.\n\theartbeat\030\n \001(\0132\031" +
@@ -234,80 +244,85 @@
       ".PieceAsksH\000\0225\n\rpiece_answers\030* \001(\0132\034.ta" +
       "llycart.wire.PieceAnswersH\000\022=\n\021piece_wit" +
       "hdrawals\030+ \001(\0132 .tallycart.wire.PieceWit" +
-      "hdrawalsH\000B\006\n\004body\"\'\n\003Ack\022\020\n\010accepted\030\001 " +
-      "\001(\010\022\016\n\006detail\030\002 \001(\t\"0\n\017RegisterVersion\022\014" +
-      "\n\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"N\n\tPeerBri" +
-      "ef\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010d" +
-      "raining\030\003 \001(\010\022\016\n\006age_ms\030\004 \001(\r\"\223\001\n\tHeartb" +
-      "eat\022\020\n\010draining\030\001 \001(\010\0222\n\tregisters\030\002 \003(\013" +
-      "2\037.tallycart.wire.RegisterVersion\022\026\n\016lea" +
-      "ving_digest\030\003 \001(\006\022(\n\005peers\030\004 \003(\0132\031.tally" +
-      "cart.wire.PeerBrief\"<\n\013PullRequest\022-\n\004ha" +
-      "ve\030\001 \003(\0132\037.tallycart.wire.RegisterVersio" +
-      "n\"=\n\rRegisterValue\022\014\n\004name\030\001 \001(\t\022\017\n\007vers" +
-      "ion\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\":\n\tPullReply\022-\n" +
-      "\006values\030\001 \003(\0132\035.tallycart.wire.RegisterV" +
-      "alue\"\036\n\013BlobRequest\022\017\n\007digests\030\001 \003(\t\"%\n\004" +
-      "Blob\022\016\n\006digest\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\"0\n\tB" +
-      "lobReply\022#\n\005blobs\030\001 \003(\0132\024.tallycart.wire" +
-      ".Blob\"\"\n\rLeavingNotice\022\021\n\tupstreams\030\001 \003(" +
-      "\t\"*\n\010Claimant\022\n\n\002vm\030\001 \001(\t\022\022\n\nattempt_id\030" +
-      "\002 \001(\t\"X\n\tClaimCall\022\013\n\003key\030\001 \001(\t\022*\n\010claim" +
-      "ant\030\002 \001(\0132\030.tallycart.wire.Claimant\022\022\n\nk" +
-      "nown_term\030\003 \001(\004\"\351\001\n\013ClaimAnswer\0222\n\006statu" +
-      "s\030\001 \001(\0162\".tallycart.wire.ClaimAnswer.Sta" +
-      "tus\022\014\n\004term\030\002 \001(\004\022(\n\006holder\030\003 \001(\0132\030.tall" +
-      "ycart.wire.Claimant\022\016\n\006result\030\004 \001(\014\"^\n\006S" +
-      "tatus\022\r\n\tNOT_OWNER\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HEL" +
-      "D\020\002\022\014\n\010FINISHED\020\003\022\023\n\017BEFORE_TAKEOVER\020\004\022\013" +
-      "\n\007EXPIRED\020\005\"V\n\013ClaimFinish\022\013\n\003key\030\001 \001(\t\022" +
-      "*\n\010claimant\030\002 \001(\0132\030.tallycart.wire.Claim" +
-      "ant\022\016\n\006result\030\003 \001(\014\"G\n\014ClaimRelease\022\013\n\003k" +
+      "hdrawalsH\000\0227\n\016piece_releases\030, \001(\0132\035.tal" +
+      "lycart.wire.PieceReleasesH\000B\006\n\004body\"\'\n\003A" +
+      "ck\022\020\n\010accepted\030\001 \001(\010\022\016\n\006detail\030\002 \001(\t\"0\n\017" +
+      "RegisterVersion\022\014\n\004name\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\004\"N\n\tPeerBrief\022\n\n\002vm\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\004\022\020\n\010draining\030\003 \001(\010\022\016\n\006age_ms" +
+      "\030\004 \001(\r\"\223\001\n\tHeartbeat\022\020\n\010draining\030\001 \001(\010\0222" +
+      "\n\tregisters\030\002 \003(\0132\037.tallycart.wire.Regis" +
+      "terVersion\022\026\n\016leaving_digest\030\003 \001(\006\022(\n\005pe" +
+      "ers\030\004 \003(\0132\031.tallycart.wire.PeerBrief\"<\n\013" +
+      "PullRequest\022-\n\004have\030\001 \003(\0132\037.tallycart.wi" +
+      "re.RegisterVersion\"=\n\rRegisterValue\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(" +
+      "\014\":\n\tPullReply\022-\n\006values\030\001 \003(\0132\035.tallyca" +
+      "rt.wire.RegisterValue\"\036\n\013BlobRequest\022\017\n\007" +
+      "digests\030\001 \003(\t\"%\n\004Blob\022\016\n\006digest\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\014\"0\n\tBlobReply\022#\n\005blobs\030\001 \003(\013" +
+      "2\024.tallycart.wire.Blob\"\"\n\rLeavingNotice\022" +
+      "\021\n\tupstreams\030\001 \003(\t\"*\n\010Claimant\022\n\n\002vm\030\001 \001" +
+      "(\t\022\022\n\nattempt_id\030\002 \001(\t\"X\n\tClaimCall\022\013\n\003k" +
       "ey\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tallycart.w" +
-      "ire.Claimant\"e\n\nClaimEntry\022\013\n\003key\030\001 \001(\t\022" +
-      "(\n\006holder\030\002 \001(\0132\030.tallycart.wire.Claiman" +
-      "t\022\016\n\006result\030\003 \001(\014\022\020\n\010finished\030\004 \001(\010\"m\n\nS" +
-      "lotClaims\022\014\n\004slot\030\001 \001(\r\022\014\n\004term\030\002 \001(\004\022\027\n" +
-      "\017refuse_until_ms\030\003 \001(\022\022*\n\006claims\030\004 \003(\0132\032" +
-      ".tallycart.wire.ClaimEntry\"K\n\014HandoverCa" +
-      "ll\022)\n\005slots\030\001 \003(\0132\032.tallycart.wire.SlotC" +
-      "laims\022\020\n\010sequence\030\002 \001(\004\"\013\n\tSubscribe\"\362\001\n" +
-      "\013StateUpdate\022\026\n\016config_version\030\001 \001(\004\022#\n\005" +
-      "parts\030\002 \003(\0132\024.tallycart.wire.Blob\022*\n\tpar" +
-      "t_refs\030\003 \003(\0132\027.tallycart.wire.PartRef\022\025\n" +
-      "\rslots_version\030\004 \001(\004\022\r\n\005slots\030\005 \001(\t\022\023\n\013v" +
-      "ms_version\030\006 \001(\004\022\013\n\003vms\030\007 \001(\t\022\017\n\007leaving" +
-      "\030\010 \003(\t\022\022\n\nactive_vms\030\t \001(\r\022\r\n\005ready\030\n \001(" +
-      "\010\"\'\n\007PartRef\022\014\n\004name\030\001 \001(\t\022\016\n\006digest\030\002 \001" +
-      "(\t\"o\n\013ShareDemand\022\021\n\tworkspace\030\001 \001(\t\022\031\n\021" +
-      "demand_per_second\030\002 \001(\001\022\030\n\020limit_per_sec" +
-      "ond\030\003 \001(\001\022\030\n\020holds_per_second\030\004 \001(\001\";\n\013S" +
-      "hareReport\022,\n\007demands\030\001 \003(\0132\033.tallycart." +
-      "wire.ShareDemand\"8\n\nShareGrant\022\021\n\tworksp" +
-      "ace\030\001 \001(\t\022\027\n\017rate_per_second\030\002 \001(\001\"9\n\013Sh" +
-      "areAnswer\022*\n\006grants\030\001 \003(\0132\032.tallycart.wi" +
-      "re.ShareGrant\"o\n\010NodeBeat\022\017\n\007address\030\001 \001" +
-      "(\t\022\026\n\016failure_domain\030\002 \001(\t\022\020\n\010draining\030\003" +
-      " \001(\010\022(\n\005peers\030\004 \003(\0132\031.tallycart.wire.Pee" +
-      "rBrief\"\333\001\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022" +
-      "\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service" +
-      "\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016d" +
-      "eadline_in_ms\030\007 \001(\021\022\027\n\017objective_in_ms\030\010" +
-      " \001(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_domain" +
-      "\030\n \001(\t\022\024\n\014result_bytes\030\013 \001(\004\"3\n\tPieceAsk" +
-      "s\022&\n\004asks\030\001 \003(\0132\030.tallycart.wire.PieceAs" +
-      "k\"\312\001\n\013PieceAnswer\022\022\n\nrequest_id\030\001 \001(\t\022\r\n" +
-      "\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\0222\n\006status\030\004 " +
-      "\001(\0162\".tallycart.wire.PieceAnswer.Status\022" +
-      "\016\n\006handle\030\005 \001(\t\"E\n\006Status\022\010\n\004MADE\020\000\022\010\n\004L" +
-      "ATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM\020\003\022\n\n\006FA" +
-      "ILED\020\004\"<\n\014PieceAnswers\022,\n\007answers\030\001 \003(\0132" +
-      "\033.tallycart.wire.PieceAnswer\"T\n\017PieceWit" +
-      "hdrawal\022\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002" +
-      " \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004 \001(\r\"H\n\020Pi" +
-      "eceWithdrawals\0224\n\013withdrawals\030\001 \003(\0132\037.ta" +
-      "llycart.wire.PieceWithdrawalB\036\n\032org.tall" +
-      "ycart.wire.messageP\001b\006proto3"
+      "ire.Claimant\022\022\n\nknown_term\030\003 \001(\004\"\351\001\n\013Cla" +
+      "imAnswer\0222\n\006status\030\001 \001(\0162\".tallycart.wir" +
+      "e.ClaimAnswer.Status\022\014\n\004term\030\002 \001(\004\022(\n\006ho" +
+      "lder\030\003 \001(\0132\030.tallycart.wire.Claimant\022\016\n\006" +
+      "result\030\004 \001(\014\"^\n\006Status\022\r\n\tNOT_OWNER\020\000\022\013\n" +
+      "\007GRANTED\020\001\022\010\n\004HELD\020\002\022\014\n\010FINISHED\020\003\022\023\n\017BE" +
+      "FORE_TAKEOVER\020\004\022\013\n\007EXPIRED\020\005\"V\n\013ClaimFin" +
+      "ish\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tal" +
+      "lycart.wire.Claimant\022\016\n\006result\030\003 \001(\014\"G\n\014" +
+      "ClaimRelease\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 " +
+      "\001(\0132\030.tallycart.wire.Claimant\"e\n\nClaimEn" +
+      "try\022\013\n\003key\030\001 \001(\t\022(\n\006holder\030\002 \001(\0132\030.tally" +
+      "cart.wire.Claimant\022\016\n\006result\030\003 \001(\014\022\020\n\010fi" +
+      "nished\030\004 \001(\010\"m\n\nSlotClaims\022\014\n\004slot\030\001 \001(\r" +
+      "\022\014\n\004term\030\002 \001(\004\022\027\n\017refuse_until_ms\030\003 \001(\022\022" +
+      "*\n\006claims\030\004 \003(\0132\032.tallycart.wire.ClaimEn" +
+      "try\"K\n\014HandoverCall\022)\n\005slots\030\001 \003(\0132\032.tal" +
+      "lycart.wire.SlotClaims\022\020\n\010sequence\030\002 \001(\004" +
+      "\"\013\n\tSubscribe\"\362\001\n\013StateUpdate\022\026\n\016config_" +
+      "version\030\001 \001(\004\022#\n\005parts\030\002 \003(\0132\024.tallycart" +
+      ".wire.Blob\022*\n\tpart_refs\030\003 \003(\0132\027.tallycar" +
+      "t.wire.PartRef\022\025\n\rslots_version\030\004 \001(\004\022\r\n" +
+      "\005slots\030\005 \001(\t\022\023\n\013vms_version\030\006 \001(\004\022\013\n\003vms" +
+      "\030\007 \001(\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nactive_vms\030\t " +
+      "\001(\r\022\r\n\005ready\030\n \001(\010\"\'\n\007PartRef\022\014\n\004name\030\001 " +
+      "\001(\t\022\016\n\006digest\030\002 \001(\t\"o\n\013ShareDemand\022\021\n\two" +
+      "rkspace\030\001 \001(\t\022\031\n\021demand_per_second\030\002 \001(\001" +
+      "\022\030\n\020limit_per_second\030\003 \001(\001\022\030\n\020holds_per_" +
+      "second\030\004 \001(\001\";\n\013ShareReport\022,\n\007demands\030\001" +
+      " \003(\0132\033.tallycart.wire.ShareDemand\"8\n\nSha" +
+      "reGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_s" +
+      "econd\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003" +
+      "(\0132\032.tallycart.wire.ShareGrant\"o\n\010NodeBe" +
+      "at\022\017\n\007address\030\001 \001(\t\022\026\n\016failure_domain\030\002 " +
+      "\001(\t\022\020\n\010draining\030\003 \001(\010\022(\n\005peers\030\004 \003(\0132\031.t" +
+      "allycart.wire.PeerBrief\"\202\002\n\010PieceAsk\022\022\n\n" +
+      "request_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece" +
+      "\030\003 \001(\r\022\017\n\007service\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006" +
+      "inputs\030\006 \003(\t\022\026\n\016deadline_in_ms\030\007 \001(\021\022\027\n\017" +
+      "objective_in_ms\030\010 \001(\021\022\020\n\010priority\030\t \001(\r\022" +
+      "\026\n\016failure_domain\030\n \001(\t\022\023\n\013moved_bytes\030\013" +
+      " \001(\004\022\024\n\014result_bytes\030\014 \001(\004\022\020\n\010together\030\r" +
+      " \001(\010\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132\030.tallyc" +
+      "art.wire.PieceAsk\"\312\001\n\013PieceAnswer\022\022\n\nreq" +
+      "uest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 " +
+      "\001(\r\0222\n\006status\030\004 \001(\0162\".tallycart.wire.Pie" +
+      "ceAnswer.Status\022\016\n\006handle\030\005 \001(\t\"E\n\006Statu" +
+      "s\022\010\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n" +
+      "\007NO_ROOM\020\003\022\n\n\006FAILED\020\004\"<\n\014PieceAnswers\022," +
+      "\n\007answers\030\001 \003(\0132\033.tallycart.wire.PieceAn" +
+      "swer\"T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(\t" +
+      "\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005p" +
+      "iece\030\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withdr" +
+      "awals\030\001 \003(\0132\037.tallycart.wire.PieceWithdr" +
+      "awal\"0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017\n" +
+      "\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010relea" +
+      "ses\030\001 \003(\0132\034.tallycart.wire.PieceReleaseB" +
+      "\036\n\032org.tallycart.wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -318,7 +333,7 @@
     internal_static_tallycart_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_Envelope_descriptor,
-        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "Body", });
+        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "Body", });
     internal_static_tallycart_wire_Ack_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_tallycart_wire_Ack_fieldAccessorTable = new
@@ -486,7 +501,7 @@
     internal_static_tallycart_wire_PieceAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAsk_descriptor,
-        new java.lang.String[] { "RequestId", "Stage", "Piece", "Service", "Key", "Inputs", "DeadlineInMs", "ObjectiveInMs", "Priority", "FailureDomain", "ResultBytes", });
+        new java.lang.String[] { "RequestId", "Stage", "Piece", "Service", "Key", "Inputs", "DeadlineInMs", "ObjectiveInMs", "Priority", "FailureDomain", "MovedBytes", "ResultBytes", "Together", });
     internal_static_tallycart_wire_PieceAsks_descriptor =
       getDescriptor().getMessageType(29);
     internal_static_tallycart_wire_PieceAsks_fieldAccessorTable = new
@@ -517,6 +532,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceWithdrawals_descriptor,
         new java.lang.String[] { "Withdrawals", });
+    internal_static_tallycart_wire_PieceRelease_descriptor =
+      getDescriptor().getMessageType(34);
+    internal_static_tallycart_wire_PieceRelease_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_PieceRelease_descriptor,
+        new java.lang.String[] { "Service", "Handles", });
+    internal_static_tallycart_wire_PieceReleases_descriptor =
+      getDescriptor().getMessageType(35);
+    internal_static_tallycart_wire_PieceReleases_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_PieceReleases_descriptor,
+        new java.lang.String[] { "Releases", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
