--- a/core/src/main/java/org/tallycart/core/serving/Prompt.java
+++ b/core/src/main/java/org/tallycart/core/serving/Prompt.java
@@ -7,25 +7,35 @@
  *
  * @param model the model
  * @param promptTokens tokens to read, shared parts included
- * @param parts the shared parts in order; the last belongs to the session
+ * @param parts its parts in order, those that most requests share first; the last belongs
+ * to the request itself or to its session
  * @since 0.1
  */
 public record Prompt(String model, int promptTokens, List<PromptPart> parts) {
 
+	/** Parts of a prompt whose last one belongs to the request itself. */
+	private static final int PARTS_WITH_OWN = 3;
+
 	/**
-	 * Return what names the prompt's session: the last shared part.
+	 * Return what names the prompt's session: what its requests have in common beyond
+	 * what all sessions share. Where there are three parts or more, the last is the
+	 * request's own.
 	 * @return the part's id, or an empty text where nothing is shared
 	 */
 	public String session() {
-		return this.parts.isEmpty() ? "" : this.parts.get(this.parts.size() - 1).id();
+		return this.parts.isEmpty() ? "" : this.parts.get(sharedParts() - 1).id();
+	}
+
+	private int sharedParts() {
+		return (this.parts.size() >= PARTS_WITH_OWN) ? this.parts.size() - 1 : this.parts.size();
 	}
 
 	/**
-	 * Return how many tokens are in shared parts.
+	 * Return how many tokens other requests of the session share.
 	 * @return the sum
 	 */
 	public int sharedTokens() {
-		return this.parts.stream().mapToInt(PromptPart::tokens).sum();
+		return this.parts.stream().limit(sharedParts()).mapToInt(PromptPart::tokens).sum();
 	}
 
 }
--- a/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
@@ -24,6 +24,8 @@
 
 	private final List<UpstreamState> engines = new ArrayList<>();
 
+	private int requests;
+
 	@BeforeMethod
 	void begin() {
 		this.engines.clear();
@@ -33,8 +35,10 @@
 		}
 	}
 
-	private static Prompt prompt(String session) {
-		return new Prompt("m", 9_000, List.of(new PromptPart("shared", 2_500), new PromptPart(session, 3_800)));
+	private Prompt prompt(String session) {
+		this.requests++;
+		return new Prompt("m", 9_000, List.of(new PromptPart("shared", 2_500), new PromptPart(session, 3_800),
+				new PromptPart("own" + this.requests, 2_700)));
 	}
 
 	private UpstreamChoice choose(Prompt prompt) {
@@ -79,6 +83,15 @@
 		assertEquals(choice.fetchFrom().orElseThrow(), home);
 	}
 
+	@Test
+	void whereThereIsNoPartOfTheRequestsOwnTheLastNamesTheSession() {
+		Prompt prompt = new Prompt("m", 900, List.of(new PromptPart("a", 500), new PromptPart("b", 200)));
+		assertEquals(prompt.session(), "b");
+		assertEquals(prompt.sharedTokens(), 700);
+		assertEquals(prompt("s").session(), "s");
+		assertEquals(prompt("s").sharedTokens(), 6_300);
+	}
+
 	@Test
 	void aPromptWithoutSharedPartsIsNotCopied() {
 		Prompt plain = new Prompt("m", 100, List.of());
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -5,9 +5,11 @@
 
 import org.apache.hc.core5.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
+import org.tallycart.core.serving.Prompt;
 import org.tallycart.core.serving.RequestKind;
 import org.tallycart.core.serving.SendOptions;
 import org.tallycart.core.serving.UpstreamReply;
+import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
 import org.tallycart.http.event.Call;
 import org.tallycart.http.event.CallFailure;
@@ -57,13 +59,18 @@
 
 	private boolean ended;
 
-	Attempt(Serving serving, RequestPlan plan, UpstreamState upstream, Owner owner) {
+	Attempt(Serving serving, RequestPlan plan, UpstreamChoice choice, Owner owner) {
 		this.serving = serving;
 		this.plan = plan;
-		this.upstream = upstream;
+		this.upstream = choice.upstream();
 		this.owner = owner;
 		this.startedMs = serving.loop().nowMs();
-		this.promptTokens = plan.request().prompt().map((prompt) -> prompt.promptTokens()).orElse(0);
+		this.promptTokens = plan.request().prompt().map(Attempt::tokensToRead).orElse(0);
+	}
+
+	// Shared parts are mostly there: at the session's home, or copied from it.
+	private static int tokensToRead(Prompt prompt) {
+		return Math.max(prompt.promptTokens() - prompt.sharedTokens(), 0);
 	}
 
 	void send(SendOptions options) {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -160,7 +160,7 @@
 					upstream.entry().failureDomain(), "send", this.sends, "in_flight", upstream.inFlight(),
 					"error_rate", upstream.errorRate(), "left_ms", left, "session", session(), "fetch_from",
 					choice.get().fetchFrom().map((from) -> from.entry().id()).orElse("none"));
-		Attempt fresh = new Attempt(this.serving, this.plan, upstream, this);
+		Attempt fresh = new Attempt(this.serving, this.plan, choice.get(), this);
 		this.attempt = fresh;
 		limitSilence(fresh);
 		fresh.send(options(choice.get(), left));
