--- a/core/src/main/java/org/tallycart/core/membership/RendezvousHash.java
+++ b/core/src/main/java/org/tallycart/core/membership/RendezvousHash.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Rendezvous (highest random weight) hashing: every process that knows the same
@@ -36,6 +37,20 @@
 		return candidates.stream().max(byWeight(seed));
 	}
 
+	/**
+	 * Return the candidate that ranks first, by names that candidates have.
+	 * @param <T> the kind of candidate
+	 * @param subject the subject
+	 * @param candidates the candidates
+	 * @param name gives a candidate's name
+	 * @return the first, or empty if there is no candidate
+	 */
+	public static <T> Optional<T> first(String subject, Collection<T> candidates, Function<T, String> name) {
+		long seed = hash(subject);
+		Comparator<String> byWeight = byWeight(seed);
+		return candidates.stream().max((one, other) -> byWeight.compare(name.apply(one), name.apply(other)));
+	}
+
 	/**
 	 * Return the candidates that rank highest.
 	 * @param subject the subject
--- a/core/src/main/java/org/tallycart/core/serving/Prompt.java
+++ b/core/src/main/java/org/tallycart/core/serving/Prompt.java
@@ -26,6 +26,22 @@
 		return this.parts.isEmpty() ? "" : this.parts.get(sharedParts() - 1).id();
 	}
 
+	/**
+	 * Return what most requests share.
+	 * @return the first part's id, or an empty text where there are no parts
+	 */
+	public String firstPart() {
+		return this.parts.isEmpty() ? "" : this.parts.get(0).id();
+	}
+
+	/**
+	 * Return the length of what most requests share.
+	 * @return tokens of the first part
+	 */
+	public int firstPartTokens() {
+		return this.parts.isEmpty() ? 0 : this.parts.get(0).tokens();
+	}
+
 	private int sharedParts() {
 		return (this.parts.size() >= PARTS_WITH_OWN) ? this.parts.size() - 1 : this.parts.size();
 	}
--- a/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
+++ b/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
@@ -1,7 +1,6 @@
 package org.tallycart.core.upstream;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 
 import org.tallycart.core.membership.RendezvousHash;
@@ -49,17 +48,13 @@
 	 * @return the choice, or empty if there is no candidate
 	 */
 	public static Optional<UpstreamChoice> choose(Prompt prompt, Collection<UpstreamState> candidates, long nowMs) {
-		List<String> ids = candidates.stream().map((state) -> state.entry().id()).toList();
-		Optional<String> homeId = RendezvousHash.first(subject(prompt), ids);
-		return homeId.map((id) -> leastWait(prompt, id, candidates, nowMs));
+		return RendezvousHash
+			.first(prompt.model() + "/" + prompt.session(), candidates, (candidate) -> candidate.entry().id())
+			.map((home) -> leastWait(prompt, home, candidates, nowMs));
 	}
 
-	private static UpstreamChoice leastWait(Prompt prompt, String homeId, Collection<UpstreamState> candidates,
+	private static UpstreamChoice leastWait(Prompt prompt, UpstreamState home, Collection<UpstreamState> candidates,
 			long nowMs) {
-		UpstreamState home = candidates.stream()
-			.filter((state) -> state.entry().id().equals(homeId))
-			.findFirst()
-			.orElseThrow();
 		UpstreamState best = home;
 		double bestMs = waitMs(home, nowMs) - LEAVE_MS - prompt.sharedTokens() / TOKENS_PER_MS;
 		for (UpstreamState other : candidates) {
@@ -69,12 +64,18 @@
 				bestMs = otherMs;
 			}
 		}
-		boolean fetch = best != home && prompt.sharedTokens() >= MIN_FETCH_TOKENS && home.usable(nowMs);
-		return new UpstreamChoice(best, fetch ? Optional.of(home) : Optional.empty());
+		UpstreamState source = (best != home) ? home : firstPartHome(prompt, candidates);
+		int tokens = (best != home) ? prompt.sharedTokens() : prompt.firstPartTokens();
+		boolean fetch = source != best && tokens >= MIN_FETCH_TOKENS && source.usable(nowMs);
+		return new UpstreamChoice(best, fetch ? Optional.of(source) : Optional.empty());
 	}
 
-	private static String subject(Prompt prompt) {
-		return prompt.model() + "/" + prompt.session();
+	// Sessions that share their first part copy it from one engine rather than have it
+	// read
+	// by each; an engine that holds it already copies nothing.
+	private static UpstreamState firstPartHome(Prompt prompt, Collection<UpstreamState> candidates) {
+		return RendezvousHash.first(prompt.model() + "/" + prompt.firstPart(), candidates, (c) -> c.entry().id())
+			.orElseThrow();
 	}
 
 	private static double waitMs(UpstreamState state, long nowMs) {
--- a/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.LoadReport;
@@ -14,6 +16,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -92,6 +95,17 @@
 		assertEquals(prompt("s").sharedTokens(), 6_300);
 	}
 
+	@Test
+	void theFirstPartIsCopiedFromOneEngineUnlessTheHomeIsThatOne() {
+		Set<UpstreamState> sources = new HashSet<>();
+		for (int i = 0; i < 100; i++) {
+			UpstreamChoice choice = choose(prompt("s" + i));
+			choice.fetchFrom().ifPresent(sources::add);
+			assertFalse(choice.fetchFrom().filter(choice.upstream()::equals).isPresent());
+		}
+		assertEquals(sources.size(), 1);
+	}
+
 	@Test
 	void aPromptWithoutSharedPartsIsNotCopied() {
 		Prompt plain = new Prompt("m", 100, List.of());
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -98,6 +98,8 @@
 
 	private int sends;
 
+	private long firstPartMs;
+
 	private boolean mayHaveRun;
 
 	private boolean streaming;
@@ -214,6 +216,9 @@
 
 	@Override
 	public void onPart(byte[] part) {
+		if (this.firstPartMs == 0) {
+			this.firstPartMs = now() - this.plan.arrivedMs();
+		}
 		this.stages.giveBack();
 		this.events.receive(part, this.responder::write);
 	}
@@ -222,7 +227,7 @@
 	public void onStreamEnd(Attempt ended) {
 		this.responder.write(this.events.rest());
 		this.responder.end();
-		finish(EventCode.REQUEST_ANSWERED, "stream", "complete", "sends", this.sends);
+		finish(EventCode.REQUEST_ANSWERED, "stream", "complete", "first_ms", this.firstPartMs, "sends", this.sends);
 	}
 
 	@Override
