--- a/core/src/main/java/org/tallycart/core/pool/CallChooser.java
+++ b/core/src/main/java/org/tallycart/core/pool/CallChooser.java
@@ -31,7 +31,7 @@
 	 * What a request still needs after its last piece, in milliseconds: reading its
 	 * prompt.
 	 */
-	private static final long AFTER_PIECES_MS = 300;
+	private static final long MARGIN_MS = 300;
 
 	private final PoolSpec spec;
 
@@ -57,7 +57,7 @@
 	}
 
 	private boolean canBeOnTime(PieceJob job) {
-		return job.objectiveMs() >= this.nowMs + (long) this.spec.expectedMs(1) + AFTER_PIECES_MS;
+		return job.objectiveMs() >= this.nowMs + (long) this.spec.expectedMs(1) + MARGIN_MS;
 	}
 
 	List<Waiting> choose(PoolWorker worker, List<Waiting> queue) {
@@ -112,7 +112,7 @@
 		}
 		double readyAt = Math.max(home.get().expectedFreeMs(), this.nowMs)
 				+ this.spec.expectedMs(this.spec.batch()) * home.get().pace();
-		return readyAt + AFTER_PIECES_MS < (canBeOnTime(job) ? job.objectiveMs() : job.deadlineMs());
+		return readyAt + MARGIN_MS < (canBeOnTime(job) ? job.objectiveMs() : job.deadlineMs());
 	}
 
 }
--- a/core/src/main/java/org/tallycart/core/pool/PieceJob.java
+++ b/core/src/main/java/org/tallycart/core/pool/PieceJob.java
@@ -10,7 +10,8 @@
  * @param key what it is made from, where it has no inputs
  * @param inputs handles of what it is made from; empty where it has a key
  * @param deadlineMs when its result is useless, on the steady clock
- * @param objectiveMs when its result has to be there for the request to be on time
+ * @param objectiveMs when its result has to be there for the request to be on time, what
+ * comes after it included
  * @param priority the request's rank; 0 is the most urgent
  * @param failureDomain where its result is wanted
  * @param resultBytes the approximate size of its result
--- a/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
+++ b/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
@@ -56,7 +56,7 @@
 	private static UpstreamChoice leastWait(Prompt prompt, UpstreamState home, Collection<UpstreamState> candidates,
 			long nowMs) {
 		UpstreamState best = home;
-		double bestMs = waitMs(home, nowMs) - LEAVE_MS - prompt.sharedTokens() / TOKENS_PER_MS;
+		double bestMs = waitMs(home, nowMs) - LEAVE_MS - PromptCost.sharedMs(prompt);
 		for (UpstreamState other : candidates) {
 			double otherMs = waitMs(other, nowMs);
 			if (other != home && otherMs < bestMs) {
@@ -80,7 +80,7 @@
 
 	private static double waitMs(UpstreamState state, long nowMs) {
 		int queued = state.report(nowMs).map(LoadReport::waiting).orElse(0);
-		return state.promptTokensWaiting() / TOKENS_PER_MS + queued * QUEUED_MS + state.errorRate() * ERROR_MS;
+		return state.readMsWaiting() + queued * QUEUED_MS + state.errorRate() * ERROR_MS;
 	}
 
 }
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
@@ -40,7 +40,7 @@
 
 	private int inFlight;
 
-	private long promptTokensWaiting;
+	private double readMsWaiting;
 
 	private double errorRate;
 
@@ -88,20 +88,20 @@
 
 	/**
 	 * Take note of a request that is sent.
-	 * @param promptTokens what it has to read before its first token; 0 for plain
+	 * @param readMs how long its prompt takes to be read, in milliseconds; 0 for plain
 	 * requests
 	 */
-	public void onSend(int promptTokens) {
+	public void onSend(double readMs) {
 		this.inFlight++;
-		this.promptTokensWaiting += promptTokens;
+		this.readMsWaiting += readMs;
 	}
 
 	/**
 	 * Take note that a prompt has been read.
-	 * @param promptTokens what was counted for it
+	 * @param readMs what was counted for it
 	 */
-	public void onPromptRead(int promptTokens) {
-		this.promptTokensWaiting -= promptTokens;
+	public void onPromptRead(double readMs) {
+		this.readMsWaiting -= readMs;
 	}
 
 	/** Take note that a request that was sent has ended, in whatever way. */
@@ -158,11 +158,12 @@
 	}
 
 	/**
-	 * Return how many prompt tokens of this VM's requests have still to be read there.
-	 * @return the count
+	 * Return how long the prompts take that this VM has sent there and that have not been
+	 * read.
+	 * @return milliseconds
 	 */
-	public long promptTokensWaiting() {
-		return this.promptTokensWaiting;
+	public double readMsWaiting() {
+		return this.readMsWaiting;
 	}
 
 	/**
--- a/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
@@ -78,9 +78,9 @@
 	@Test
 	void aBusyHomeYieldsAndIsCopiedFrom() {
 		UpstreamState home = choose(prompt("s")).upstream();
-		home.onSend(4_000);
+		home.onSend(120);
 		assertEquals(choose(prompt("s")).upstream(), home, "a short wait is cheaper than a copy");
-		home.onSend(20_000);
+		home.onSend(600);
 		UpstreamChoice choice = choose(prompt("s"));
 		assertNotEquals(choice.upstream(), home);
 		assertEquals(choice.fetchFrom().orElseThrow(), home);
@@ -109,7 +109,7 @@
 	@Test
 	void aPromptWithoutSharedPartsIsNotCopied() {
 		Prompt plain = new Prompt("m", 100, List.of());
-		choose(plain).upstream().onSend(50_000);
+		choose(plain).upstream().onSend(1_500);
 		assertTrue(choose(plain).fetchFrom().isEmpty());
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -5,10 +5,10 @@
 
 import org.apache.hc.core5.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
-import org.tallycart.core.serving.Prompt;
 import org.tallycart.core.serving.RequestKind;
 import org.tallycart.core.serving.SendOptions;
 import org.tallycart.core.serving.UpstreamReply;
+import org.tallycart.core.upstream.PromptCost;
 import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
 import org.tallycart.http.event.Call;
@@ -43,7 +43,7 @@
 
 	private final long startedMs;
 
-	private final int promptTokens;
+	private final double readMs;
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
@@ -65,16 +65,11 @@
 		this.upstream = choice.upstream();
 		this.owner = owner;
 		this.startedMs = serving.loop().nowMs();
-		this.promptTokens = plan.request().prompt().map(Attempt::tokensToRead).orElse(0);
-	}
-
-	// Shared parts are mostly there: at the session's home, or copied from it.
-	private static int tokensToRead(Prompt prompt) {
-		return Math.max(prompt.promptTokens() - prompt.sharedTokens(), 0);
+		this.readMs = plan.request().prompt().map(PromptCost::readMs).orElse(0.0);
 	}
 
 	void send(SendOptions options) {
-		this.upstream.onSend(this.promptTokens);
+		this.upstream.onSend(this.readMs);
 		HttpExchange exchange = HttpExchange
 			.to(this.upstream.entry().id(), this.upstream.entry().address(),
 					UpstreamCodec.encode(this.plan.request(), this.upstream.entry(), options))
@@ -158,7 +153,7 @@
 	private void readPrompt() {
 		if (!this.promptRead) {
 			this.promptRead = true;
-			this.upstream.onPromptRead(this.promptTokens);
+			this.upstream.onPromptRead(this.readMs);
 		}
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -12,6 +12,7 @@
 import org.tallycart.core.pool.StagePlan;
 import org.tallycart.core.serving.StageSpec;
 import org.tallycart.core.upstream.EngineChooser;
+import org.tallycart.core.upstream.PromptCost;
 import org.tallycart.platform.http.PieceCodec;
 import org.tallycart.runtime.event.EventCode;
 
@@ -76,8 +77,8 @@
 			PieceId id = new PieceId(this.plan.request().id(), stage, piece);
 			this.waiting.add(id);
 			PieceJob job = new PieceJob(id, spec.service(), this.plan.request().pieceKey(), inputs, this.plan.endMs(),
-					this.plan.objectiveMs() - this.stages.stagesBehind(stage) * STAGE_MS, this.plan.priority(), domain,
-					spec.resultBytes(), this.stages.hasReaders(stage), Math.max(inputBytes, resultMoved));
+					neededBy(stage), this.plan.priority(), domain, spec.resultBytes(), this.stages.hasReaders(stage),
+					Math.max(inputBytes, resultMoved));
 			dispatcher = this.serving.pieces().ask(job, this::onOutcome);
 		}
 		this.serving.log()
@@ -85,6 +86,12 @@
 					this.stages.pieces(stage), "service", spec.service(), "domain", domain, "dispatcher", dispatcher);
 	}
 
+	// When a stage has to be done for the request to be on time.
+	private long neededBy(int stage) {
+		double engineMs = this.plan.request().prompt().map(PromptCost::firstTokenMs).orElse(0.0);
+		return this.plan.objectiveMs() - this.stages.stagesBehind(stage) * STAGE_MS - Math.round(engineMs);
+	}
+
 	// Where most of some results are.
 	private String domainOf(List<String> handles) {
 		Map<String, Integer> counts = new HashMap<>();
