Work that is begun comes first; room counts as back when it is

Now: frees leave after 5 ms and count after that, pieces whose inputs hold room keep their place when late. Test lateWorkWhoseInputsHoldRoomIsEndedBeforeNewWorkOfItsRank.

--- a/core/src/main/java/org/tallycart/core/pool/CallChooser.java
+++ b/core/src/main/java/org/tallycart/core/pool/CallChooser.java
@@ -15,10 +15,10 @@
 /**
  * Chooses the pieces of one call.
  * <p>
- * Order: pieces that can still be on time first, then rank, then the time they are needed
- * by. Pieces whose results are read together are kept together. A piece with much to move
- * is made in the failure domain where it is wanted, unless that makes it late. No more is
- * chosen than the worker has room for.
+ * Order: pieces that can still be on time or whose inputs hold room first, then rank,
+ * then the time they are needed by. Pieces whose results are read together are kept
+ * together. A piece with much to move is made in the failure domain where it is wanted,
+ * unless that makes it late. No more is chosen than the worker has room for.
  * <p>
  * Not thread-safe: made for one choice.
  */
@@ -51,11 +51,18 @@
 	}
 
 	Comparator<Waiting> order() {
-		return Comparator.<Waiting>comparingInt((waiting) -> canBeOnTime(waiting.job()) ? 0 : 1)
+		return Comparator.<Waiting>comparingInt((waiting) -> comesFirst(waiting.job()) ? 0 : 1)
 			.thenComparingInt((waiting) -> waiting.job().priority())
 			.thenComparingLong((waiting) -> waiting.job().objectiveMs());
 	}
 
+	// Large inputs take room at their makers until they are read, and are dropped after a
+	// while; work that is begun like this is ended, also when it is late.
+	private boolean comesFirst(PieceJob job) {
+		boolean holdsRoom = !job.inputs().isEmpty() && job.movedBytes() >= MUCH_MOVED_BYTES;
+		return holdsRoom || canBeOnTime(job);
+	}
+
 	private boolean canBeOnTime(PieceJob job) {
 		return job.objectiveMs() >= this.nowMs + (long) this.spec.expectedMs(1) + MARGIN_MS;
 	}
--- a/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
@@ -85,6 +85,15 @@
 		assertEquals(requests(this.dispatcher.nextCall(0)), List.of("first", "second", "third", "late"));
 	}
 
+	@Test
+	void lateWorkWhoseInputsHoldRoomIsEndedBeforeNewWorkOfItsRank() {
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		ask(job("new", 1, 2_000, "d", SMALL));
+		this.dispatcher.ask(new PieceJob(new PieceId("begun", 2, 0), "pool", "", List.of("m/1"), 5_000, 50, 1, "d",
+				SMALL, false, LARGE), this.heard::put);
+		assertEquals(requests(this.dispatcher.nextCall(100)), List.of("begun", "new"));
+	}
+
 	@Test
 	void aLargeResultIsMadeWhereItIsWanted() {
 		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)));
--- a/node/src/main/java/org/tallycart/node/piece/HandleReturns.java
+++ b/node/src/main/java/org/tallycart/node/piece/HandleReturns.java
@@ -25,8 +25,17 @@
  */
 public final class HandleReturns {
 
-	/** How long results are collected for one call, in milliseconds. */
-	private static final long COLLECT_MS = 30;
+	/**
+	 * How long results are collected for one call, in milliseconds: they hold room
+	 * meanwhile.
+	 */
+	private static final long COLLECT_MS = 5;
+
+	/**
+	 * When a maker has the room again, in milliseconds: the collecting, and the way
+	 * there.
+	 */
+	static final long ROOM_BACK_MS = COLLECT_MS + 4;
 
 	/** Calls that take longer are given up, in milliseconds. */
 	private static final long TIMEOUT_MS = 1_000;
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -74,9 +74,11 @@
 	}
 
 	void release(List<String> handles) {
-		this.dispatcher.release(handles);
 		this.returns.give(handles);
-		planPump();
+		this.loop.after(HandleReturns.ROOM_BACK_MS, () -> {
+			this.dispatcher.release(handles);
+			planPump();
+		});
 	}
 
 	void withdraw(PieceId id) {
