--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -11,11 +11,14 @@
 import io.vavr.control.Either;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.NodeSettings;
+import org.tallycart.core.serving.ServingConfig;
 import org.tallycart.core.time.HybridClock;
 import org.tallycart.core.upstream.UpstreamDirectory;
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.http.event.HttpServer;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.metrics.MetricsPage;
+import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.node.piece.HandleReturns;
 import org.tallycart.node.piece.PieceService;
@@ -62,6 +65,8 @@
 
 	private final NodeSettings settings;
 
+	private final int metricsPort;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final Loop loop = new Loop(this.group.next());
@@ -70,6 +75,8 @@
 
 	private final CountDownLatch stopped = new CountDownLatch(1);
 
+	private final NodeMetrics metrics = new NodeMetrics();
+
 	private final ConfigInForce config = new ConfigInForce(this.log);
 
 	private final UpstreamDirectory directory = new UpstreamDirectory();
@@ -99,14 +106,15 @@
 	private Runnable drainAction = () -> {
 	};
 
-	private Node(NodeSettings settings) {
+	private Node(NodeSettings settings, int metricsPort) {
+		this.metricsPort = metricsPort;
 		this.settings = settings;
 		WireIdentity identity = new WireIdentity(settings.vm(), Clocks.SYSTEM.wallMs(), new HybridClock(),
 				Clocks.SYSTEM::wallMs);
 		this.transport = WireTransport.create(identity, this.group);
 		HandleReturns returns = new HandleReturns(this.http, this.loop, this.directory);
 		this.pieces = new PieceService(settings.vm(), this.http, this.loop, this.log, this.config, this.directory,
-				returns);
+				returns, this.metrics);
 		this.mesh = new PeerMesh(settings.vm(), settings.failureDomain(), this.transport, this.loop, this.log,
 				this.pieces);
 		ObjectClient objects = new ObjectClient(this.http, this.loop.executor(), settings.store());
@@ -114,17 +122,18 @@
 		this.store = new StoreLink(objects, this.loop, this.log, this.config, this.directory, this.pieces::onChange);
 		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this.mesh::liveVms);
 		Serving serving = new Serving(settings.failureDomain(), this.loop, this.log, this.http, this.directory,
-				this.pieces, this.budgets);
+				this.pieces, this.budgets, this.metrics);
 		this.desk = new FrontDesk(serving, this.config);
 	}
 
 	/**
 	 * Start a process.
 	 * @param settings its settings
+	 * @param metricsPort where metrics are shown; 0 takes a free port
 	 * @return the process, or why it cannot start
 	 */
-	static Either<String, Node> start(NodeSettings settings) {
-		Node node = new Node(settings);
+	static Either<String, Node> start(NodeSettings settings, int metricsPort) {
+		Node node = new Node(settings, metricsPort);
 		return node.listen().map((listeners) -> {
 			node.loop.later(() -> node.begin(listeners));
 			return node;
@@ -132,11 +141,14 @@
 	}
 
 	private Either<String, Listeners> listen() {
+		Address metricsAddress = new Address(this.settings.ip(), this.metricsPort);
 		Address peers = new Address(this.settings.ip(), this.settings.peerPort());
 		return this.transport.listen(peers, (peer, message) -> this.mesh.receive(message))
 			.flatMap((wire) -> HttpServer.start(this.group, this.settings.readiness(), this.readiness)
 				.flatMap((ready) -> HttpServer.start(this.group, this.settings.callers(), this.desk)
-					.map((callers) -> new Listeners(new Address(this.settings.ip(), wire.port()), ready, callers))))
+					.flatMap((callers) -> HttpServer.start(this.group, metricsAddress, new MetricsPage(this.metrics))
+						.map((page) -> new Listeners(new Address(this.settings.ip(), wire.port()), ready, callers,
+								page)))))
 			.peek((listeners) -> this.listeners = Optional.of(listeners));
 	}
 
@@ -156,7 +168,19 @@
 		return this.listeners.map((present) -> present.readiness().port()).orElse(0);
 	}
 
+	/**
+	 * Return where metrics are shown.
+	 * @return the port
+	 */
+	int metricsPort() {
+		return this.listeners.map((present) -> present.metrics().port()).orElse(0);
+	}
+
 	private void begin(Listeners listeners) {
+		this.metrics.gauge("config.version", () -> this.config.current().map(ServingConfig::version).orElse(0L));
+		this.metrics.gauge("vms.live", this.mesh::liveVms);
+		this.metrics.gauge("pieces.outstanding", this.pieces::outstanding);
+		this.metrics.gauge("store.missed", () -> this.storeMissed ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
 				"callers", this.settings.callers(), "store", this.settings.store());
@@ -275,8 +299,9 @@
 	 * @param peers where other VMs are accepted
 	 * @param readiness answers the platform
 	 * @param callers answers callers
+	 * @param metrics shows what is counted
 	 */
-	private record Listeners(Address peers, HttpServer readiness, HttpServer callers) {
+	private record Listeners(Address peers, HttpServer readiness, HttpServer callers, HttpServer metrics) {
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/NodeMain.java
+++ b/node/src/main/java/org/tallycart/node/NodeMain.java
@@ -30,6 +30,11 @@
 	/** Time between two looks at the settings file, in milliseconds. */
 	private static final long SETTINGS_CHECK_MS = 2_000;
 
+	/**
+	 * Outside the ports that the platform hands out; named in the deploy file as well.
+	 */
+	private static final int DEFAULT_METRICS_PORT = 9464;
+
 	@Option(names = "--settings", description = "The platform's settings file; else the path that the variable "
 			+ SettingsReader.PATH_VARIABLE + " holds.")
 	private String settingsPath = "";
@@ -37,6 +42,9 @@
 	@Option(names = "--log-level", description = "ERROR, WARN, INFO or DEBUG; INFO if not given.")
 	private String logLevel = "INFO";
 
+	@Option(names = "--metrics-port", description = "Where metrics are shown; ${DEFAULT-VALUE} if not given.")
+	private int metricsPort = DEFAULT_METRICS_PORT;
+
 	@Option(names = "--check", description = "Check the settings and stop.")
 	private boolean check;
 
@@ -62,7 +70,7 @@
 			return ExitCode.OK;
 		}
 		NodeLogging.configure(this.logLevel);
-		Either<String, Node> node = Node.start(settings.get());
+		Either<String, Node> node = Node.start(settings.get(), this.metricsPort);
 		if (node.isLeft()) {
 			System.err.println(node.getLeft());
 			return ExitCode.FAILED;
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -18,6 +18,7 @@
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.node.peer.PeerMessages;
 import org.tallycart.node.store.ConfigInForce;
@@ -56,6 +57,8 @@
 
 	private final HandleReturns returns;
 
+	private final NodeMetrics metrics;
+
 	private final Map<String, PoolDriver> drivers = new HashMap<>();
 
 	private final Map<PieceId, Outstanding> outstanding = new HashMap<>();
@@ -81,9 +84,10 @@
 	 * @param config tells what workers can do
 	 * @param directory tells which workers exist
 	 * @param returns takes results that nobody needs
+	 * @param metrics what is counted
 	 */
 	public PieceService(String vm, HttpClient http, Loop loop, NodeLog log, ConfigInForce config,
-			UpstreamDirectory directory, HandleReturns returns) {
+			UpstreamDirectory directory, HandleReturns returns, NodeMetrics metrics) {
 		this.vm = vm;
 		this.http = http;
 		this.loop = loop;
@@ -91,6 +95,7 @@
 		this.config = config;
 		this.directory = directory;
 		this.returns = returns;
+		this.metrics = metrics;
 	}
 
 	/**
@@ -157,7 +162,8 @@
 			return Optional.of(known);
 		}
 		return spec(service).map((spec) -> {
-			PoolDriver fresh = new PoolDriver(service, spec, this.http, this.loop, this.log, this.returns);
+			PoolDriver fresh = new PoolDriver(service, spec, this.http, this.loop, this.log, this.returns,
+					this.metrics);
 			fresh.update(spec, workers(service));
 			this.drivers.put(service, fresh);
 			return fresh;
@@ -287,6 +293,14 @@
 		}
 	}
 
+	/**
+	 * Return how many pieces other VMs were asked for and have not answered.
+	 * @return the count
+	 */
+	public long outstanding() {
+		return this.outstanding.size();
+	}
+
 	/**
 	 * Return whether no piece is asked for or being made here.
 	 * @return true if nothing is left to do
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -19,6 +19,7 @@
 import org.tallycart.http.event.WholeReplyCall;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.platform.http.PieceCodec;
 import org.tallycart.runtime.event.EventCode;
 
@@ -49,16 +50,20 @@
 
 	private final HandleReturns returns;
 
+	private final NodeMetrics metrics;
+
 	private final PoolDispatcher dispatcher;
 
 	private boolean pumpPlanned;
 
-	PoolDriver(String service, PoolSpec spec, HttpClient http, Loop loop, NodeLog log, HandleReturns returns) {
+	PoolDriver(String service, PoolSpec spec, HttpClient http, Loop loop, NodeLog log, HandleReturns returns,
+			NodeMetrics metrics) {
 		this.service = service;
 		this.http = http;
 		this.loop = loop;
 		this.log = log;
 		this.returns = returns;
+		this.metrics = metrics;
 		this.dispatcher = new PoolDispatcher(spec);
 	}
 
@@ -157,6 +162,7 @@
 	}
 
 	private void logEnd(PoolCall call, String outcome) {
+		this.metrics.onPoolCall(call.jobs().size(), this.loop.nowMs() - call.startedMs());
 		this.log.event(EventCode.POOL_CALL_ENDED, "service", this.service, "worker", call.worker().id(), "call",
 				call.number(), "pieces", call.jobs().size(), "took_ms", this.loop.nowMs() - call.startedMs(), "outcome",
 				outcome);
--- a/node/src/main/java/org/tallycart/node/request/FrontDesk.java
+++ b/node/src/main/java/org/tallycart/node/request/FrontDesk.java
@@ -84,11 +84,13 @@
 
 	private void decline(Responder responder, String id, HttpResponse head, String reason) {
 		this.serving.log().request(EventCode.REQUEST_DECLINED, id, "status", head.getCode(), "reason", reason);
+		this.serving.metrics().onRequestEnded("declined_" + head.getCode(), 0);
 		responder.send(head, new byte[0]);
 	}
 
 	@Override
 	public void onRefused(int status, String reason) {
+		this.serving.metrics().onConnectionRefused(status);
 		this.serving.log().event(EventCode.CONNECTION_REFUSED, "status", status, "reason", reason);
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -132,6 +133,9 @@
 	@Override
 	public void onMade(List<String> made) {
 		if (!this.finished) {
+			if (!made.isEmpty()) {
+				this.serving.metrics().onStageWorkDone(now() - this.plan.arrivedMs());
+			}
 			this.inputs = made;
 			send();
 		}
@@ -218,6 +222,7 @@
 	public void onPart(byte[] part) {
 		if (this.firstPartMs == 0) {
 			this.firstPartMs = now() - this.plan.arrivedMs();
+			this.serving.metrics().onFirstEvent(this.firstPartMs);
 		}
 		this.stages.giveBack();
 		this.events.receive(part, this.responder::write);
@@ -227,7 +232,8 @@
 	public void onStreamEnd(Attempt ended) {
 		this.responder.write(this.events.rest());
 		this.responder.end();
-		finish(EventCode.REQUEST_ANSWERED, "stream", "complete", "first_ms", this.firstPartMs, "sends", this.sends);
+		finish("stream_complete", EventCode.REQUEST_ANSWERED, "stream", "complete", "first_ms", this.firstPartMs,
+				"sends", this.sends);
 	}
 
 	@Override
@@ -249,13 +255,14 @@
 		}
 		else {
 			this.responder.send(CallerAnswer.passed(head), body);
-			finish(EventCode.REQUEST_ANSWERED, "status", head.status(), "sends", this.sends);
+			finish("status_" + head.status(), EventCode.REQUEST_ANSWERED, "status", head.status(), "sends", this.sends);
 		}
 	}
 
 	@Override
 	public void onResult(Attempt ended, AttemptResult result) {
 		logResult(ended, result.kind() + ": " + result.detail());
+		this.serving.metrics().onSendFailed(result.kind().name().toLowerCase(Locale.ROOT));
 		this.events.dropPartial();
 		this.mayHaveRun |= result.mayHaveRun();
 		switch (result.kind()) {
@@ -291,6 +298,7 @@
 		}
 		boolean granted = this.serving.budgets().tryRepeat(this.plan.service());
 		if (!granted) {
+			this.serving.metrics().onRepeatDenied();
 			this.serving.log()
 				.request(EventCode.REPEAT_DENIED, this.plan.request().id(), "service", this.plan.service());
 		}
@@ -325,12 +333,12 @@
 	}
 
 	private void onCallerGone() {
-		finish(EventCode.CALLER_GONE, "sends", this.sends);
+		finish("caller_gone", EventCode.CALLER_GONE, "sends", this.sends);
 	}
 
 	private void abort(String reason) {
 		this.responder.abort();
-		finish(EventCode.REQUEST_ANSWERED, "stream", "broken", "reason", reason, "sends", this.sends);
+		finish("stream_broken", EventCode.REQUEST_ANSWERED, "stream", "broken", "reason", reason, "sends", this.sends);
 	}
 
 	private void answerNotRun(long retryAfterMs, String reason) {
@@ -348,10 +356,11 @@
 			return;
 		}
 		this.responder.send(head, new byte[0]);
-		finish(EventCode.REQUEST_DECLINED, "status", head.getCode(), "reason", reason, "sends", this.sends);
+		finish("declined_" + head.getCode(), EventCode.REQUEST_DECLINED, "status", head.getCode(), "reason", reason,
+				"sends", this.sends);
 	}
 
-	private void finish(EventCode code, Object... pairs) {
+	private void finish(String outcome, EventCode code, Object... pairs) {
 		if (this.finished) {
 			return;
 		}
@@ -363,9 +372,11 @@
 			this.attempt.cancel();
 		}
 		this.stages.drop();
+		long totalMs = now() - this.plan.arrivedMs();
+		this.serving.metrics().onRequestEnded(outcome, totalMs);
 		List<Object> all = new ArrayList<>(List.of(pairs));
 		all.add("total_ms");
-		all.add(now() - this.plan.arrivedMs());
+		all.add(totalMs);
 		this.serving.log().request(code, this.plan.request().id(), all.toArray());
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/Serving.java
+++ b/node/src/main/java/org/tallycart/node/request/Serving.java
@@ -4,6 +4,7 @@
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.piece.PieceService;
 
 /**
@@ -16,8 +17,9 @@
  * @param directory the upstreams
  * @param pieces gets stage work made
  * @param budgets limits repeats
+ * @param metrics what is counted
  * @since 0.1
  */
 public record Serving(String failureDomain, Loop loop, NodeLog log, HttpClient http, UpstreamDirectory directory,
-		PieceService pieces, RetryBudgets budgets) {
+		PieceService pieces, RetryBudgets budgets, NodeMetrics metrics) {
 }
--- a/node/src/test/java/org/tallycart/node/NodePathTests.java
+++ b/node/src/test/java/org/tallycart/node/NodePathTests.java
@@ -82,7 +82,7 @@
 		}
 		this.store.put("config", "main", String.format(CONFIG, 7));
 		for (int i = 0; i < VMS; i++) {
-			this.nodes.add(Node.start(settings("vm-" + i)).get());
+			this.nodes.add(Node.start(settings("vm-" + i), 0).get());
 		}
 		this.nodes.forEach((node) -> await(() -> ready(node)));
 	}
@@ -285,6 +285,22 @@
 		assertEquals(runs("r1"), runs);
 	}
 
+	@Test
+	void metricsTellOutcomesAndTimes() {
+		Node node = this.nodes.get(0);
+		request(node, "/plain/x", "r1", KEY);
+		request(node, "/nowhere/x", "r2", KEY);
+		request(node, "/stream/x", "r3", GENERATION + "X-Tallycart-Pieces: 2,3\r\nX-Tallycart-Piece-Key: k\r\n");
+		String page = exchange(node.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+		for (String line : List.of("requests_ended_status_200 1.0", "requests_ended_declined_404 1.0",
+				"requests_ended_stream_complete 1.0", "streams_first_event_ms_count 1.0", "config_version 7.0",
+				"requests_stage_work_ms_count 1.0")) {
+			assertTrue(page.contains(line), line + " in " + page);
+		}
+		assertTrue(exchange(node.metricsPort(), "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			.startsWith("HTTP/1.1 404"));
+	}
+
 	@Test
 	void aDrainingUpstreamGetsNothingNew() {
 		this.store.put("servers", "i-plain0", this.upstreams.get("i-plain0").entry("plain", "d", "draining"));
@@ -326,7 +342,7 @@
 	@Test
 	void aNodeWithoutAConfigurationIsNotReadyAndAnswersNotRun() {
 		this.store.setDown(true);
-		Node fresh = Node.start(settings("vm-x")).get();
+		Node fresh = Node.start(settings("vm-x"), 0).get();
 		this.nodes.add(fresh);
 		assertFalse(ready(fresh));
 		String answer = request(fresh, "/plain/x", "r1", KEY);
