No piece for a request that cannot be answered in time; calls name requests

A piece was made as long as it alone could be ready before the request's end, whatever stages and engine time come behind it. Now it is useless from the end less those. Pool calls name their requests in the log; unused fields are gone (a beat's failure domain, a reply's leaving). Test noPieceIsMadeForARequestThatCannotBeAnsweredInTime.

--- a/core/src/main/java/org/tallycart/core/pool/StagePlan.java
+++ b/core/src/main/java/org/tallycart/core/pool/StagePlan.java
@@ -150,16 +150,6 @@
 		this.handles[stage][piece] = handle;
 	}
 
-	/**
-	 * Return whether a piece is made.
-	 * @param stage the stage
-	 * @param piece the piece
-	 * @return true if its result is there
-	 */
-	public boolean isMade(int stage, int piece) {
-		return this.handles[stage][piece] != null;
-	}
-
 	private boolean complete(int stage) {
 		return Arrays.stream(this.handles[stage]).allMatch((handle) -> handle != null);
 	}
--- a/core/src/main/java/org/tallycart/core/serving/UpstreamReply.java
+++ b/core/src/main/java/org/tallycart/core/serving/UpstreamReply.java
@@ -10,12 +10,11 @@
  * @param requestId the request it answers, if it says so
  * @param notRun whether the upstream states that it did not run the request
  * @param signed whether it carries the upstream's mark, which a success needs
- * @param leaving whether the upstream ends the connection after it
  * @param load what the upstream said of its load
  * @param fields fields that a caller gets as they are
  * @since 0.1
  */
-public record UpstreamReply(int status, Optional<String> requestId, boolean notRun, boolean signed, boolean leaving,
+public record UpstreamReply(int status, Optional<String> requestId, boolean notRun, boolean signed,
 		Optional<LoadReport> load, List<HeaderField> fields) {
 
 	/**
--- a/core/src/test/java/org/tallycart/core/pool/StagePlanTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/StagePlanTests.java
@@ -93,7 +93,7 @@
 		plan.takeRest();
 		plan.reset();
 		assertEquals(plan.start(), List.of(1));
-		assertFalse(plan.isMade(0, 0));
+		assertEquals(plan.results(0), List.of());
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -115,8 +115,7 @@
 		HandleReturns returns = new HandleReturns(this.http, this.loop, this.directory);
 		this.pieces = new PieceService(settings.vm(), this.http, this.loop, this.log, this.config, this.directory,
 				returns, this.metrics);
-		this.mesh = new PeerMesh(settings.vm(), settings.failureDomain(), this.transport, this.loop, this.log,
-				this.pieces);
+		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log, this.pieces);
 		ObjectClient objects = new ObjectClient(this.http, this.loop.executor(), settings.store());
 		this.records = new VmRecords(objects);
 		this.store = new StoreLink(objects, this.loop, this.log, this.config, this.directory, this.pieces::onChange);
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -46,8 +46,6 @@
 
 	private Address own = new Address("", 0);
 
-	private final String failureDomain;
-
 	private final WireTransport transport;
 
 	private final Loop loop;
@@ -63,16 +61,13 @@
 	/**
 	 * Create a mesh.
 	 * @param vm this VM's name
-	 * @param failureDomain where it runs
 	 * @param transport carries messages on the event loop
 	 * @param loop the event loop
 	 * @param log where changes are written
 	 * @param messages takes what is not a beat
 	 */
-	public PeerMesh(String vm, String failureDomain, WireTransport transport, Loop loop, NodeLog log,
-			PeerMessages messages) {
+	public PeerMesh(String vm, WireTransport transport, Loop loop, NodeLog log, PeerMessages messages) {
 		this.vm = vm;
-		this.failureDomain = failureDomain;
 		this.transport = transport;
 		this.loop = loop;
 		this.log = log;
@@ -151,10 +146,7 @@
 	private void beat() {
 		long now = this.loop.nowMs();
 		new ArrayList<>(this.peers.values()).forEach(this::review);
-		NodeBeat.Builder beat = NodeBeat.newBuilder()
-			.setAddress(this.own.toString())
-			.setFailureDomain(this.failureDomain)
-			.setDraining(this.draining);
+		NodeBeat.Builder beat = NodeBeat.newBuilder().setAddress(this.own.toString()).setDraining(this.draining);
 		for (Peer peer : this.peers.values()) {
 			if (peer.heardWithin(SILENCE_MS, now)) {
 				beat.addPeers(PeerBrief.newBuilder().setVm(peer.vm()).setAgeMs((int) peer.heardAgeMs(now)));
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import org.tallycart.core.pool.PieceAsker;
@@ -126,7 +127,7 @@
 		UpstreamEntry worker = call.worker();
 		this.log.event(EventCode.POOL_CALL_MADE, "service", this.service, "worker", worker.id(), "call", call.number(),
 				"pieces", call.jobs().size(), "waiting", this.dispatcher.waiting(), "expected_ms",
-				Math.round(call.expectedMs()));
+				Math.round(call.expectedMs()), "requests", requests(call));
 		HttpExchange exchange = HttpExchange.to(worker.id(), worker.address(), PieceCodec.runHead(worker))
 			.body(PieceCodec.runBody(call.jobs(), call.startedMs()))
 			.connectTimeoutMs(CONNECT_TIMEOUT_MS)
@@ -135,6 +136,10 @@
 		WholeReplyCall.start(this.http, this.loop.executor(), exchange, timeoutMs, (outcome) -> onReply(call, outcome));
 	}
 
+	private static String requests(PoolCall call) {
+		return call.jobs().stream().map((job) -> job.id().requestId()).distinct().collect(Collectors.joining(","));
+	}
+
 	private void onReply(PoolCall call, Either<CallFailure, WholeReply> outcome) {
 		long now = this.loop.nowMs();
 		if (outcome.isLeft()) {
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -30,6 +30,9 @@
 	/** What a stage usually takes, in milliseconds: a wait for a call, and the call. */
 	private static final long STAGE_MS = 400;
 
+	/** What a stage takes at least, in milliseconds: a call of one piece. */
+	private static final long LEAST_STAGE_MS = 200;
+
 	private final Serving serving;
 
 	private final RequestPlan plan;
@@ -76,7 +79,7 @@
 		for (int piece = 0; piece < this.stages.pieces(stage); piece++) {
 			PieceId id = new PieceId(this.plan.request().id(), stage, piece);
 			this.waiting.add(id);
-			PieceJob job = new PieceJob(id, spec.service(), this.plan.request().pieceKey(), inputs, this.plan.endMs(),
+			PieceJob job = new PieceJob(id, spec.service(), this.plan.request().pieceKey(), inputs, uselessFrom(stage),
 					neededBy(stage), this.plan.priority(), domain, spec.resultBytes(), this.stages.hasReaders(stage),
 					Math.max(inputBytes, resultMoved));
 			dispatcher = this.serving.pieces().ask(job, this::onOutcome);
@@ -88,8 +91,17 @@
 
 	// When a stage has to be done for the request to be on time.
 	private long neededBy(int stage) {
-		double engineMs = this.plan.request().prompt().map(PromptCost::firstTokenMs).orElse(0.0);
-		return this.plan.objectiveMs() - this.stages.stagesBehind(stage) * STAGE_MS - Math.round(engineMs);
+		return this.plan.objectiveMs() - this.stages.stagesBehind(stage) * STAGE_MS - engineMs();
+	}
+
+	// When a stage's results come too late for any answer: the stages behind it and the
+	// engine take at least this long.
+	private long uselessFrom(int stage) {
+		return this.plan.endMs() - this.stages.stagesBehind(stage) * LEAST_STAGE_MS - engineMs();
+	}
+
+	private long engineMs() {
+		return Math.round(this.plan.request().prompt().map(PromptCost::firstTokenMs).orElse(0.0));
 	}
 
 	// Where most of some results are.
--- a/node/src/test/java/org/tallycart/node/NodePathTests.java
+++ b/node/src/test/java/org/tallycart/node/NodePathTests.java
@@ -201,6 +201,17 @@
 		await(() -> this.upstreams.values().stream().mapToInt(UpstreamStandin::freed).sum() == VMS * 5);
 	}
 
+	@Test
+	void noPieceIsMadeForARequestThatCannotBeAnsweredInTime() {
+		String answer = exchange(this.nodes.get(0).callersPort(),
+				"GET /stream/x HTTP/1.1\r\nHost: h\r\nX-Tallycart-Request-Id: r1\r\nX-Tallycart-Deadline-Ms: 250\r\n"
+						+ "Connection: close\r\n" + GENERATION
+						+ "X-Tallycart-Pieces: 1,1\r\nX-Tallycart-Piece-Key: k\r\n\r\n");
+		assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+		assertTrue(answer.contains("Retry-After"));
+		assertTrue(this.upstreams.values().stream().allMatch((upstream) -> upstream.batches().isEmpty()));
+	}
+
 	@Test
 	void aSessionKeepsItsEngineOnEveryVm() {
 		for (int i = 0; i < 6; i++) {
--- a/wire/src/main/java/org/tallycart/wire/message/NodeBeat.java
+++ b/wire/src/main/java/org/tallycart/wire/message/NodeBeat.java
@@ -33,7 +33,6 @@
   }
   private NodeBeat() {
     address_ = "";
-    failureDomain_ = "";
     peers_ = java.util.Collections.emptyList();
   }
 
@@ -94,49 +93,10 @@
     }
   }
 
-  public static final int FAILURE_DOMAIN_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object failureDomain_ = "";
-  /**
-   * <code>string failure_domain = 2;</code>
-   * @return The failureDomain.
-   */
-  @java.lang.Override
-  public java.lang.String getFailureDomain() {
-    java.lang.Object ref = failureDomain_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      failureDomain_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string failure_domain = 2;</code>
-   * @return The bytes for failureDomain.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getFailureDomainBytes() {
-    java.lang.Object ref = failureDomain_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      failureDomain_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int DRAINING_FIELD_NUMBER = 3;
+  public static final int DRAINING_FIELD_NUMBER = 2;
   private boolean draining_ = false;
   /**
-   * <code>bool draining = 3;</code>
+   * <code>bool draining = 2;</code>
    * @return The draining.
    */
   @java.lang.Override
@@ -144,18 +104,18 @@
     return draining_;
   }
 
-  public static final int PEERS_FIELD_NUMBER = 4;
+  public static final int PEERS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
   private java.util.List<org.tallycart.wire.message.PeerBrief> peers_;
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   @java.lang.Override
   public java.util.List<org.tallycart.wire.message.PeerBrief> getPeersList() {
     return peers_;
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   @java.lang.Override
   public java.util.List<? extends org.tallycart.wire.message.PeerBriefOrBuilder> 
@@ -163,21 +123,21 @@
     return peers_;
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   @java.lang.Override
   public int getPeersCount() {
     return peers_.size();
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   @java.lang.Override
   public org.tallycart.wire.message.PeerBrief getPeers(int index) {
     return peers_.get(index);
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   @java.lang.Override
   public org.tallycart.wire.message.PeerBriefOrBuilder getPeersOrBuilder(
@@ -202,14 +162,11 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, address_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, failureDomain_);
-    }
     if (draining_ != false) {
-      output.writeBool(3, draining_);
+      output.writeBool(2, draining_);
     }
     for (int i = 0; i < peers_.size(); i++) {
-      output.writeMessage(4, peers_.get(i));
+      output.writeMessage(3, peers_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -218,12 +175,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, address_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, failureDomain_);
-    }
     if (draining_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(3, draining_);
+        .computeBoolSize(2, draining_);
     }
 
         {
@@ -260,8 +214,6 @@
 
     if (!getAddress()
         .equals(other.getAddress())) return false;
-    if (!getFailureDomain()
-        .equals(other.getFailureDomain())) return false;
     if (getDraining()
         != other.getDraining()) return false;
     if (!getPeersList()
@@ -279,8 +231,6 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
     hash = (53 * hash) + getAddress().hashCode();
-    hash = (37 * hash) + FAILURE_DOMAIN_FIELD_NUMBER;
-    hash = (53 * hash) + getFailureDomain().hashCode();
     hash = (37 * hash) + DRAINING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDraining());
@@ -424,7 +374,6 @@
       super.clear();
       bitField0_ = 0;
       address_ = "";
-      failureDomain_ = "";
       draining_ = false;
       if (peersBuilder_ == null) {
         peers_ = java.util.Collections.emptyList();
@@ -432,7 +381,7 @@
         peers_ = null;
         peersBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -467,9 +416,9 @@
 
     private void buildPartialRepeatedFields(org.tallycart.wire.message.NodeBeat result) {
       if (peersBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
+        if (((bitField0_ & 0x00000004) != 0)) {
           peers_ = java.util.Collections.unmodifiableList(peers_);
-          bitField0_ = (bitField0_ & ~0x00000008);
+          bitField0_ = (bitField0_ & ~0x00000004);
         }
         result.peers_ = peers_;
       } else {
@@ -483,9 +432,6 @@
         result.address_ = address_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.failureDomain_ = failureDomain_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.draining_ = draining_;
       }
     }
@@ -507,11 +453,6 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (!other.getFailureDomain().isEmpty()) {
-        failureDomain_ = other.failureDomain_;
-        bitField0_ |= 0x00000002;
-        onChanged();
-      }
       if (other.getDraining() != false) {
         setDraining(other.getDraining());
       }
@@ -519,7 +460,7 @@
         if (!other.peers_.isEmpty()) {
           if (peers_.isEmpty()) {
             peers_ = other.peers_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
             ensurePeersIsMutable();
             peers_.addAll(other.peers_);
@@ -532,7 +473,7 @@
             peersBuilder_.dispose();
             peersBuilder_ = null;
             peers_ = other.peers_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
             peersBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetPeersFieldBuilder() : null;
@@ -570,17 +511,12 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              failureDomain_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 24: {
+            case 16: {
               draining_ = input.readBool();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000002;
               break;
-            } // case 24
-            case 34: {
+            } // case 16
+            case 26: {
               org.tallycart.wire.message.PeerBrief m =
                   input.readMessage(
                       org.tallycart.wire.message.PeerBrief.parser(),
@@ -592,7 +528,7 @@
                 peersBuilder_.addMessage(m);
               }
               break;
-            } // case 34
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -682,81 +618,9 @@
       return this;
     }
 
-    private java.lang.Object failureDomain_ = "";
-    /**
-     * <code>string failure_domain = 2;</code>
-     * @return The failureDomain.
-     */
-    public java.lang.String getFailureDomain() {
-      java.lang.Object ref = failureDomain_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        failureDomain_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string failure_domain = 2;</code>
-     * @return The bytes for failureDomain.
-     */
-    public com.google.protobuf.ByteString
-        getFailureDomainBytes() {
-      java.lang.Object ref = failureDomain_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        failureDomain_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string failure_domain = 2;</code>
-     * @param value The failureDomain to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFailureDomain(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      failureDomain_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string failure_domain = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearFailureDomain() {
-      failureDomain_ = getDefaultInstance().getFailureDomain();
-      bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string failure_domain = 2;</code>
-     * @param value The bytes for failureDomain to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFailureDomainBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      failureDomain_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-
     private boolean draining_ ;
     /**
-     * <code>bool draining = 3;</code>
+     * <code>bool draining = 2;</code>
      * @return The draining.
      */
     @java.lang.Override
@@ -764,23 +628,23 @@
       return draining_;
     }
     /**
-     * <code>bool draining = 3;</code>
+     * <code>bool draining = 2;</code>
      * @param value The draining to set.
      * @return This builder for chaining.
      */
     public Builder setDraining(boolean value) {
 
       draining_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>bool draining = 3;</code>
+     * <code>bool draining = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearDraining() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       draining_ = false;
       onChanged();
       return this;
@@ -789,9 +653,9 @@
     private java.util.List<org.tallycart.wire.message.PeerBrief> peers_ =
       java.util.Collections.emptyList();
     private void ensurePeersIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
+      if (!((bitField0_ & 0x00000004) != 0)) {
         peers_ = new java.util.ArrayList<org.tallycart.wire.message.PeerBrief>(peers_);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000004;
        }
     }
 
@@ -799,7 +663,7 @@
         org.tallycart.wire.message.PeerBrief, org.tallycart.wire.message.PeerBrief.Builder, org.tallycart.wire.message.PeerBriefOrBuilder> peersBuilder_;
 
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public java.util.List<org.tallycart.wire.message.PeerBrief> getPeersList() {
       if (peersBuilder_ == null) {
@@ -809,7 +673,7 @@
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public int getPeersCount() {
       if (peersBuilder_ == null) {
@@ -819,7 +683,7 @@
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public org.tallycart.wire.message.PeerBrief getPeers(int index) {
       if (peersBuilder_ == null) {
@@ -829,7 +693,7 @@
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder setPeers(
         int index, org.tallycart.wire.message.PeerBrief value) {
@@ -844,7 +708,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder setPeers(
         int index, org.tallycart.wire.message.PeerBrief.Builder builderForValue) {
@@ -858,7 +722,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder addPeers(org.tallycart.wire.message.PeerBrief value) {
       if (peersBuilder_ == null) {
@@ -872,7 +736,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder addPeers(
         int index, org.tallycart.wire.message.PeerBrief value) {
@@ -887,7 +751,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder addPeers(
         org.tallycart.wire.message.PeerBrief.Builder builderForValue) {
@@ -901,7 +765,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder addPeers(
         int index, org.tallycart.wire.message.PeerBrief.Builder builderForValue) {
@@ -915,7 +779,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder addAllPeers(
         java.lang.Iterable<? extends org.tallycart.wire.message.PeerBrief> values) {
@@ -930,12 +794,12 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder clearPeers() {
       if (peersBuilder_ == null) {
         peers_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
         peersBuilder_.clear();
@@ -943,7 +807,7 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public Builder removePeers(int index) {
       if (peersBuilder_ == null) {
@@ -956,14 +820,14 @@
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public org.tallycart.wire.message.PeerBrief.Builder getPeersBuilder(
         int index) {
       return internalGetPeersFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public org.tallycart.wire.message.PeerBriefOrBuilder getPeersOrBuilder(
         int index) {
@@ -973,7 +837,7 @@
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public java.util.List<? extends org.tallycart.wire.message.PeerBriefOrBuilder> 
          getPeersOrBuilderList() {
@@ -984,14 +848,14 @@
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public org.tallycart.wire.message.PeerBrief.Builder addPeersBuilder() {
       return internalGetPeersFieldBuilder().addBuilder(
           org.tallycart.wire.message.PeerBrief.getDefaultInstance());
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public org.tallycart.wire.message.PeerBrief.Builder addPeersBuilder(
         int index) {
@@ -999,7 +863,7 @@
           index, org.tallycart.wire.message.PeerBrief.getDefaultInstance());
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
      */
     public java.util.List<org.tallycart.wire.message.PeerBrief.Builder> 
          getPeersBuilderList() {
@@ -1012,7 +876,7 @@
         peersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.tallycart.wire.message.PeerBrief, org.tallycart.wire.message.PeerBrief.Builder, org.tallycart.wire.message.PeerBriefOrBuilder>(
                 peers_,
-                ((bitField0_ & 0x00000008) != 0),
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
         peers_ = null;
--- a/wire/src/main/java/org/tallycart/wire/message/NodeBeatOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/NodeBeatOrBuilder.java
@@ -23,43 +23,31 @@
       getAddressBytes();
 
   /**
-   * <code>string failure_domain = 2;</code>
-   * @return The failureDomain.
-   */
-  java.lang.String getFailureDomain();
-  /**
-   * <code>string failure_domain = 2;</code>
-   * @return The bytes for failureDomain.
-   */
-  com.google.protobuf.ByteString
-      getFailureDomainBytes();
-
-  /**
-   * <code>bool draining = 3;</code>
+   * <code>bool draining = 2;</code>
    * @return The draining.
    */
   boolean getDraining();
 
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   java.util.List<org.tallycart.wire.message.PeerBrief> 
       getPeersList();
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   org.tallycart.wire.message.PeerBrief getPeers(int index);
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   int getPeersCount();
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   java.util.List<? extends org.tallycart.wire.message.PeerBriefOrBuilder> 
       getPeersOrBuilderList();
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 4;</code>
+   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
    */
   org.tallycart.wire.message.PeerBriefOrBuilder getPeersOrBuilder(
       int index);
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -297,32 +297,32 @@
       " \003(\0132\033.tallycart.wire.ShareDemand\"8\n\nSha" +
       "reGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_s" +
       "econd\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003" +
-      "(\0132\032.tallycart.wire.ShareGrant\"o\n\010NodeBe" +
-      "at\022\017\n\007address\030\001 \001(\t\022\026\n\016failure_domain\030\002 " +
-      "\001(\t\022\020\n\010draining\030\003 \001(\010\022(\n\005peers\030\004 \003(\0132\031.t" +
-      "allycart.wire.PeerBrief\"\202\002\n\010PieceAsk\022\022\n\n" +
-      "request_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece" +
-      "\030\003 \001(\r\022\017\n\007service\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006" +
-      "inputs\030\006 \003(\t\022\026\n\016deadline_in_ms\030\007 \001(\021\022\027\n\017" +
-      "objective_in_ms\030\010 \001(\021\022\020\n\010priority\030\t \001(\r\022" +
-      "\026\n\016failure_domain\030\n \001(\t\022\023\n\013moved_bytes\030\013" +
-      " \001(\004\022\024\n\014result_bytes\030\014 \001(\004\022\020\n\010together\030\r" +
-      " \001(\010\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132\030.tallyc" +
-      "art.wire.PieceAsk\"\312\001\n\013PieceAnswer\022\022\n\nreq" +
-      "uest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 " +
-      "\001(\r\0222\n\006status\030\004 \001(\0162\".tallycart.wire.Pie" +
-      "ceAnswer.Status\022\016\n\006handle\030\005 \001(\t\"E\n\006Statu" +
-      "s\022\010\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n" +
-      "\007NO_ROOM\020\003\022\n\n\006FAILED\020\004\"<\n\014PieceAnswers\022," +
-      "\n\007answers\030\001 \003(\0132\033.tallycart.wire.PieceAn" +
-      "swer\"T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(\t" +
-      "\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005p" +
-      "iece\030\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withdr" +
-      "awals\030\001 \003(\0132\037.tallycart.wire.PieceWithdr" +
-      "awal\"0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017\n" +
-      "\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010relea" +
-      "ses\030\001 \003(\0132\034.tallycart.wire.PieceReleaseB" +
-      "\036\n\032org.tallycart.wire.messageP\001b\006proto3"
+      "(\0132\032.tallycart.wire.ShareGrant\"W\n\010NodeBe" +
+      "at\022\017\n\007address\030\001 \001(\t\022\020\n\010draining\030\002 \001(\010\022(\n" +
+      "\005peers\030\003 \003(\0132\031.tallycart.wire.PeerBrief\"" +
+      "\202\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stag" +
+      "e\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service\030\004 \001(\t\022" +
+      "\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016deadline" +
+      "_in_ms\030\007 \001(\021\022\027\n\017objective_in_ms\030\010 \001(\021\022\020\n" +
+      "\010priority\030\t \001(\r\022\026\n\016failure_domain\030\n \001(\t\022" +
+      "\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014result_bytes\030\014 \001" +
+      "(\004\022\020\n\010together\030\r \001(\010\"3\n\tPieceAsks\022&\n\004ask" +
+      "s\030\001 \003(\0132\030.tallycart.wire.PieceAsk\"\312\001\n\013Pi" +
+      "eceAnswer\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002" +
+      " \001(\r\022\r\n\005piece\030\003 \001(\r\0222\n\006status\030\004 \001(\0162\".ta" +
+      "llycart.wire.PieceAnswer.Status\022\016\n\006handl" +
+      "e\030\005 \001(\t\"E\n\006Status\022\010\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n" +
+      "\nINPUT_GONE\020\002\022\013\n\007NO_ROOM\020\003\022\n\n\006FAILED\020\004\"<" +
+      "\n\014PieceAnswers\022,\n\007answers\030\001 \003(\0132\033.tallyc" +
+      "art.wire.PieceAnswer\"T\n\017PieceWithdrawal\022" +
+      "\017\n\007service\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005" +
+      "stage\030\003 \001(\r\022\r\n\005piece\030\004 \001(\r\"H\n\020PieceWithd" +
+      "rawals\0224\n\013withdrawals\030\001 \003(\0132\037.tallycart." +
+      "wire.PieceWithdrawal\"0\n\014PieceRelease\022\017\n\007" +
+      "service\030\001 \001(\t\022\017\n\007handles\030\002 \003(\t\"?\n\rPieceR" +
+      "eleases\022.\n\010releases\030\001 \003(\0132\034.tallycart.wi" +
+      "re.PieceReleaseB\036\n\032org.tallycart.wire.me" +
+      "ssageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -495,7 +495,7 @@
     internal_static_tallycart_wire_NodeBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_NodeBeat_descriptor,
-        new java.lang.String[] { "Address", "FailureDomain", "Draining", "Peers", });
+        new java.lang.String[] { "Address", "Draining", "Peers", });
     internal_static_tallycart_wire_PieceAsk_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_tallycart_wire_PieceAsk_fieldAccessorTable = new
