--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -133,6 +133,7 @@
 	 * @return the call; ask again until there is none
 	 */
 	public Optional<PoolCall> nextCall(long nowMs) {
+		giveUpLate(nowMs);
 		if (this.queue.isEmpty()) {
 			return Optional.empty();
 		}
@@ -313,6 +314,16 @@
 	 * @param nowMs the steady clock
 	 */
 	public void tick(long nowMs) {
+		giveUpLate(nowMs);
+		for (PoolCall call : this.calls.values()) {
+			double tookMs = nowMs - call.startedMs();
+			if (tookMs > call.expectedMs() * OVERDUE_FACTOR + OVERDUE_MARGIN_MS && this.overdue.add(call.number())) {
+				onOverdue(call, tookMs);
+			}
+		}
+	}
+
+	private void giveUpLate(long nowMs) {
 		PieceOutcome late = PieceOutcome.notMade(PieceOutcome.Status.LATE);
 		double shortestMs = this.spec.expectedMs(1);
 		for (Waiting waiting : new ArrayList<>(this.queue)) {
@@ -320,12 +331,6 @@
 				settle(waiting, late);
 			}
 		}
-		for (PoolCall call : this.calls.values()) {
-			double tookMs = nowMs - call.startedMs();
-			if (tookMs > call.expectedMs() * OVERDUE_FACTOR + OVERDUE_MARGIN_MS && this.overdue.add(call.number())) {
-				onOverdue(call, tookMs);
-			}
-		}
 	}
 
 	private void onOverdue(PoolCall call, double tookMs) {
--- a/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
@@ -189,6 +189,14 @@
 		assertEquals(this.dispatcher.waiting(), 0);
 	}
 
+	@Test
+	void aPieceThatIsUselessWhenItIsAskedForIsNotMadeByAnIdleWorker() {
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		ask(job("r", 0, 0, "d", SMALL));
+		assertTrue(this.dispatcher.nextCall(4_900).isEmpty());
+		assertEquals(this.heard.get(new PieceId("r", 0, 0)).status(), PieceOutcome.Status.LATE);
+	}
+
 	@Test
 	void anOverdueCallsPiecesAreMadeElsewhereAndTheLateResultIsUnused() {
 		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false)));
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -99,6 +99,8 @@
 
 	private int sends;
 
+	private boolean arrivalCounted;
+
 	private long firstPartMs;
 
 	private boolean mayHaveRun;
@@ -144,7 +146,7 @@
 	@Override
 	public void onNotMade(PieceOutcome.Status status) {
 		if (!this.finished) {
-			answerNotRun(BUSY_RETRY_MS, "stage work: " + status);
+			giveUp(BUSY_RETRY_MS, "stage work: " + status);
 		}
 	}
 
@@ -158,7 +160,8 @@
 		UpstreamState upstream = choice.get().upstream();
 		this.tried.add(upstream.entry().id());
 		this.sends++;
-		if (this.sends == 1) {
+		if (!this.arrivalCounted) {
+			this.arrivalCounted = true;
 			this.serving.budgets().onArrival(this.plan.service());
 		}
 		this.serving.log()
@@ -312,11 +315,15 @@
 	}
 
 	private void giveUp(String reason) {
+		giveUp(UNREACHABLE_RETRY_MS, reason);
+	}
+
+	private void giveUp(long retryAfterMs, String reason) {
 		if (this.mayHaveRun) {
 			answer(CallerAnswer.ANSWER_LOST, reason);
 		}
 		else {
-			answerNotRun(UNREACHABLE_RETRY_MS, reason);
+			answer(CallerAnswer.notRun(retryAfterMs), reason);
 		}
 	}
 
@@ -328,7 +335,7 @@
 			answer(CallerAnswer.TIME_OVER, "time is over");
 		}
 		else {
-			answerNotRun(BUSY_RETRY_MS, "time is over before it ran");
+			giveUp(BUSY_RETRY_MS, "time is over before it ran");
 		}
 	}
 
@@ -341,10 +348,6 @@
 		finish("stream_broken", EventCode.REQUEST_ANSWERED, "stream", "broken", "reason", reason, "sends", this.sends);
 	}
 
-	private void answerNotRun(long retryAfterMs, String reason) {
-		answer(CallerAnswer.notRun(retryAfterMs), reason);
-	}
-
 	private void answer(int status, String reason) {
 		answer(CallerAnswer.own(status), reason);
 	}
--- a/node/src/test/java/org/tallycart/node/NodePathTests.java
+++ b/node/src/test/java/org/tallycart/node/NodePathTests.java
@@ -263,6 +263,21 @@
 		assertFalse(answer.endsWith("0\r\n\r\n"), "not complete");
 	}
 
+	@Test
+	void notRunIsNeverSaidOfARequestThatMayHaveRunBeforeItsStageWorkFailed() {
+		setFault("engine", UpstreamStandin.Fault.SILENT);
+		Thread changer = new Thread(() -> {
+			await(() -> runs("r1") > 0);
+			setFault("engine", UpstreamStandin.Fault.INPUT_GONE);
+			setFault("pool", UpstreamStandin.Fault.CLOSE);
+		});
+		changer.start();
+		String answer = request(this.nodes.get(0), "/stream/x", "r1",
+				GENERATION + "X-Tallycart-Pieces: 1,1\r\nX-Tallycart-Piece-Key: k\r\n");
+		assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+		assertEquals(runs("r1"), 1);
+	}
+
 	@Test
 	void aBrokenStreamThatCannotBeResumedDoesNotLookComplete() {
 		setFault("engine", UpstreamStandin.Fault.BREAK);
