--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -22,7 +22,7 @@
 import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.node.piece.HandleReturns;
 import org.tallycart.node.piece.PieceService;
-import org.tallycart.node.request.FrontDesk;
+import org.tallycart.node.request.CallerHandler;
 import org.tallycart.node.request.RetryBudgets;
 import org.tallycart.node.request.Serving;
 import org.tallycart.node.store.ConfigInForce;
@@ -55,7 +55,7 @@
 	 * How long callers are still accepted after a stop began, in milliseconds: the
 	 * platform asks once a second and needs two misses.
 	 */
-	private static final long LAME_DUCK_MS = 2_300;
+	private static final long STILL_ACCEPTING_MS = 2_300;
 
 	/** Time kept before the kill, in milliseconds. */
 	private static final long BEFORE_KILL_MS = 600;
@@ -95,7 +95,7 @@
 
 	private final RetryBudgets budgets;
 
-	private final FrontDesk desk;
+	private final CallerHandler callerHandler;
 
 	private final WireTransport transport;
 
@@ -122,7 +122,7 @@
 		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this.mesh::liveVms);
 		Serving serving = new Serving(settings.failureDomain(), this.loop, this.log, this.http, this.directory,
 				this.pieces, this.budgets, this.metrics);
-		this.desk = new FrontDesk(serving, this.config);
+		this.callerHandler = new CallerHandler(serving, this.config);
 	}
 
 	/**
@@ -144,7 +144,7 @@
 		Address peers = new Address(this.settings.ip(), this.settings.peerPort());
 		return this.transport.listen(peers, (peer, message) -> this.mesh.receive(message))
 			.flatMap((wire) -> HttpServer.start(this.group, this.settings.readiness(), this.readiness)
-				.flatMap((ready) -> HttpServer.start(this.group, this.settings.callers(), this.desk)
+				.flatMap((ready) -> HttpServer.start(this.group, this.settings.callers(), this.callerHandler)
 					.flatMap((callers) -> HttpServer.start(this.group, metricsAddress, new MetricsPage(this.metrics))
 						.map((page) -> new Listeners(new Address(this.settings.ip(), wire.port()), ready, callers,
 								page)))))
@@ -262,7 +262,7 @@
 		this.mesh.drain();
 		callers.drain();
 		long deadline = this.loop.nowMs() + this.settings.bounds().graceMs() - BEFORE_KILL_MS;
-		this.loop.after(LAME_DUCK_MS, () -> {
+		this.loop.after(STILL_ACCEPTING_MS, () -> {
 			callers.stopListening();
 			callers.closeIdle();
 			awaitIdle(callers, deadline);
--- a/node/src/main/java/org/tallycart/node/request/FrontDesk.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -25,7 +25,7 @@
  *
  * @since 0.1
  */
-public final class FrontDesk implements RequestHandler {
+public final class CallerHandler implements RequestHandler {
 
 	/** When a caller may come again while no configuration is known, in milliseconds. */
 	private static final long UNCONFIGURED_RETRY_MS = 500;
@@ -35,11 +35,11 @@
 	private final ConfigInForce config;
 
 	/**
-	 * Create a front desk.
+	 * Create a handler.
 	 * @param serving what all requests share
 	 * @param config the configuration in force
 	 */
-	public FrontDesk(Serving serving, ConfigInForce config) {
+	public CallerHandler(Serving serving, ConfigInForce config) {
 		this.serving = serving;
 		this.config = config;
 	}
