Broken invariants end the node; repeated tasks that fail run again, with a line

What a task on the event loop threw was kept by the executor or by Netty: a broken invariant ended nothing, and a repeated task (beats, pool ticks) was not run again, without a line. Change: Loop runs every task through Guard; channel handlers hand errors that are not I/O failures to the thread's handler (UnexpectedError), which Guard installs; the line of a broken invariant is written out before the halt. Ruled out: catching in each task; the shared place is the loop.

--- a/entry/src/main/java/org/tallycart/entry/Entry.java
+++ b/entry/src/main/java/org/tallycart/entry/Entry.java
@@ -102,7 +102,7 @@
 		String vm = settings.vm().id();
 		HybridClock clock = new HybridClock();
 		this.events = EventLog.create("entry@" + vm, EVENTS_KEPT, clock, Clocks.SYSTEM);
-		this.guard = Guard.install(this.events);
+		this.guard = Guard.install(this.events::emit);
 		this.transport = WireTransport
 			.create(new WireIdentity(vm, Clocks.SYSTEM.wallMs(), clock, Clocks.SYSTEM::wallMs));
 		this.table = UpstreamTable.create(vm, settings.vm().domain(), settings.subset());
--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -20,6 +20,7 @@
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.jspecify.annotations.Nullable;
 import org.tallycart.core.outcome.InvariantViolation;
+import org.tallycart.core.outcome.UnexpectedError;
 
 /**
  * A caller's connection: reads requests one after the other, each whole, and writes their
@@ -96,6 +97,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		UnexpectedError.report(cause);
 		context.close();
 	}
 
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
 import org.jspecify.annotations.Nullable;
 import org.tallycart.core.outcome.InvariantViolation;
+import org.tallycart.core.outcome.UnexpectedError;
 
 /**
  * A connection to an upstream, which carries one call at a time.
@@ -116,6 +117,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		UnexpectedError.report(cause);
 		fail(CallFailure.Kind.CLOSED, "connection failed: " + cause.getMessage());
 		context.close();
 	}
--- a/node/src/main/java/org/tallycart/node/Loop.java
+++ b/node/src/main/java/org/tallycart/node/Loop.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.tallycart.runtime.process.Guard;
+
 /**
  * The event loop, to which all state of the process belongs, and its steady clock.
  * <p>
@@ -17,12 +19,16 @@
 
 	private final ScheduledExecutorService executor;
 
+	private final Guard guard;
+
 	/**
 	 * Wrap an event loop.
 	 * @param executor the loop, of one thread
+	 * @param guard takes what a task throws: a repeated task that fails runs again
 	 */
-	public Loop(ScheduledExecutorService executor) {
+	public Loop(ScheduledExecutorService executor, Guard guard) {
 		this.executor = executor;
+		this.guard = guard;
 	}
 
 	/**
@@ -30,6 +36,14 @@
 	 * @return milliseconds from a fixed point
 	 */
 	public long nowMs() {
+		return steadyMs();
+	}
+
+	/**
+	 * Return the steady clock, where no loop is there yet.
+	 * @return milliseconds from a fixed point
+	 */
+	public static long steadyMs() {
 		return System.nanoTime() / NANOS_IN_MS;
 	}
 
@@ -40,7 +54,7 @@
 	 * @return cancels it
 	 */
 	public ScheduledFuture<?> after(long delayMs, Runnable task) {
-		return this.executor.schedule(task, Math.max(delayMs, 0), TimeUnit.MILLISECONDS);
+		return this.executor.schedule(guarded(task), Math.max(delayMs, 0), TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -49,7 +63,7 @@
 	 * @param task the task
 	 */
 	public void every(long periodMs, Runnable task) {
-		this.executor.scheduleWithFixedDelay(task, periodMs, periodMs, TimeUnit.MILLISECONDS);
+		this.executor.scheduleWithFixedDelay(guarded(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -57,7 +71,11 @@
 	 * @param task the task
 	 */
 	public void later(Runnable task) {
-		this.executor.execute(task);
+		this.executor.execute(guarded(task));
+	}
+
+	private Runnable guarded(Runnable task) {
+		return this.guard.wrap("event loop", task);
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -17,6 +17,7 @@
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.http.event.HttpServer;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.log.NodeLogging;
 import org.tallycart.node.metrics.MetricsPage;
 import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.peer.PeerMesh;
@@ -31,6 +32,7 @@
 import org.tallycart.platform.store.VmRecords;
 import org.tallycart.runtime.event.EventCode;
 import org.tallycart.runtime.process.Clocks;
+import org.tallycart.runtime.process.Guard;
 import org.tallycart.wire.WireIdentity;
 import org.tallycart.wire.WireTransport;
 
@@ -69,9 +71,9 @@
 
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-	private final Loop loop = new Loop(this.group.next());
+	private final NodeLog log = new NodeLog(Loop::steadyMs);
 
-	private final NodeLog log = new NodeLog(this.loop::nowMs);
+	private final Loop loop = new Loop(this.group.next(), Guard.install(this::onFailure));
 
 	private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -139,6 +141,14 @@
 		});
 	}
 
+	// A broken invariant ends the process right after this, so its line has to be out.
+	private void onFailure(EventCode code, String detail) {
+		this.log.event(code, "detail", detail);
+		if (code == EventCode.INVARIANT_BROKEN) {
+			NodeLogging.flush();
+		}
+	}
+
 	private Either<String, Listeners> listen() {
 		Address metricsAddress = new Address(this.settings.ip(), this.metricsPort);
 		Address peers = new Address(this.settings.ip(), this.settings.peerPort());
--- a/node/src/main/java/org/tallycart/node/log/NodeLogging.java
+++ b/node/src/main/java/org/tallycart/node/log/NodeLogging.java
@@ -58,4 +58,12 @@
 		context.getLogger(NodeLog.LOGGER_NAME).setLevel(Level.toLevel(level));
 	}
 
+	/**
+	 * Write out all lines that wait, and stop logging: for the moment before the process
+	 * ends.
+	 */
+	public static void flush() {
+		((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+	}
+
 }
--- a/runtime/src/main/java/org/tallycart/runtime/process/Guard.java
+++ b/runtime/src/main/java/org/tallycart/runtime/process/Guard.java
@@ -1,8 +1,10 @@
 package org.tallycart.runtime.process;
 
+import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
+
 import org.tallycart.core.outcome.InvariantViolation;
 import org.tallycart.runtime.event.EventCode;
-import org.tallycart.runtime.event.EventLog;
 
 /**
  * Runs tasks so that a broken invariant stops the process, and any other failure is an
@@ -14,19 +16,22 @@
  */
 public final class Guard {
 
-	private final EventLog events;
+	private final BiConsumer<EventCode, String> events;
+
+	private final IntConsumer halt;
 
-	private Guard(EventLog events) {
+	Guard(BiConsumer<EventCode, String> events, IntConsumer halt) {
 		this.events = events;
+		this.halt = halt;
 	}
 
 	/**
 	 * Create a guard, which also watches threads that end by an error.
-	 * @param events where failures are recorded
+	 * @param events takes what failed, and the event that says so; from any thread
 	 * @return the guard
 	 */
-	public static Guard install(EventLog events) {
-		Guard guard = new Guard(events);
+	public static Guard install(BiConsumer<EventCode, String> events) {
+		Guard guard = new Guard(events, Runtime.getRuntime()::halt);
 		Thread.setDefaultUncaughtExceptionHandler((thread, error) -> guard.onError(thread.getName(), error));
 		return guard;
 	}
@@ -42,7 +47,7 @@
 			try {
 				task.run();
 			}
-			catch (Exception | InvariantViolation ex) {
+			catch (Exception | Error ex) {
 				onError(name, ex);
 			}
 		};
@@ -55,12 +60,13 @@
 	 */
 	public void onError(String name, Throwable error) {
 		if (error instanceof InvariantViolation) {
-			this.events.emit(EventCode.INVARIANT_BROKEN, name + ": " + error.getMessage());
-			Runtime.getRuntime().halt(ExitCode.INVARIANT_BROKEN);
+			this.events.accept(EventCode.INVARIANT_BROKEN, name + ": " + error.getMessage());
+			this.halt.accept(ExitCode.INVARIANT_BROKEN);
+			return;
 		}
 		StackTraceElement[] trace = error.getStackTrace();
 		String at = (trace.length > 0) ? " at " + trace[0] : "";
-		this.events.emit(EventCode.TASK_FAILED, name + ": " + error + at);
+		this.events.accept(EventCode.TASK_FAILED, name + ": " + error + at);
 	}
 
 }
--- /dev/null
+++ b/runtime/src/test/java/org/tallycart/runtime/process/GuardTests.java
@@ -0,0 +1,50 @@
+package org.tallycart.runtime.process;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.tallycart.core.outcome.InvariantViolation;
+import org.tallycart.core.outcome.UnexpectedError;
+import org.tallycart.runtime.event.EventCode;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/**
+ * Tests for {@link Guard}.
+ */
+public class GuardTests {
+
+	private final List<EventCode> reported = new ArrayList<>();
+
+	private final List<Integer> halts = new ArrayList<>();
+
+	private final Guard guard = new Guard((code, detail) -> this.reported.add(code), this.halts::add);
+
+	@BeforeMethod
+	void begin() {
+		this.reported.clear();
+		this.halts.clear();
+	}
+
+	@Test
+	void aBrokenInvariantEndsTheProcessAfterItIsReported() {
+		this.guard.wrap("test", () -> InvariantViolation.unless(false, "broken")).run();
+
+		assertEquals(this.reported, List.of(EventCode.INVARIANT_BROKEN));
+		assertEquals(this.halts, List.of(ExitCode.INVARIANT_BROKEN));
+	}
+
+	@Test
+	void anErrorThatALibraryCaughtReachesTheThreadsHandler() throws InterruptedException {
+		Thread thread = new Thread(() -> UnexpectedError.report(new IllegalStateException("caught")));
+		thread.setUncaughtExceptionHandler((where, error) -> this.guard.onError("test", error));
+		thread.start();
+		thread.join();
+
+		assertEquals(this.reported, List.of(EventCode.TASK_FAILED));
+		assertEquals(this.halts, List.of());
+	}
+
+}
--- a/steward/src/main/java/org/tallycart/steward/Steward.java
+++ b/steward/src/main/java/org/tallycart/steward/Steward.java
@@ -91,7 +91,7 @@
 		String vm = settings.vm().id();
 		HybridClock clock = new HybridClock();
 		this.events = EventLog.create("steward@" + vm, EVENTS_KEPT, clock, Clocks.SYSTEM);
-		Guard guard = Guard.install(this.events);
+		Guard guard = Guard.install(this.events::emit);
 		this.control = new ControlThread(guard);
 		WireIdentity identity = new WireIdentity(vm, Clocks.SYSTEM.wallMs(), clock, Clocks.SYSTEM::wallMs);
 		this.transport = WireTransport.create(identity);
