--- /dev/null
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
@@ -0,0 +1,261 @@
+package org.tallycart.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.tallycart.core.membership.RendezvousHash;
+
+/**
+ * Which VM holds each duty, as one VM sees it, and which VMs it has to ask whether they
+ * live.
+ * <p>
+ * For each duty all VMs rank the VMs that may hold it alike: those with most capacity
+ * first, and by rendezvous hash among equals. The first that works holds it. A VM asks
+ * only the holder and the next in rank, so the number of questions does not depend on the
+ * size of the fleet. Views may differ for a while, so two VMs may hold a duty at the same
+ * time; duties have to bear that.
+ * <p>
+ * Invariants: a holder is this VM itself, or a VM that answered lately; a VM that drains
+ * holds nothing. Not thread-safe: belongs to one event loop.
+ *
+ * @since 0.1
+ */
+public final class DutyTable {
+
+	/** How many VMs that work are kept in touch with for a duty: one, and a spare. */
+	private static final int WANTED = 2;
+
+	/** A pause between two ticks that is longer means that this VM stood still. */
+	private static final long STOOD_STILL_MS = 500;
+
+	private final String vm;
+
+	private final Map<String, VmRecord> records = new HashMap<>();
+
+	private final Map<String, PeerLink> links = new HashMap<>();
+
+	private final Map<Duty, List<String>> ranks = new HashMap<>();
+
+	private boolean draining;
+
+	private long tickedMs = -1;
+
+	/**
+	 * Create a table.
+	 * @param vm this VM's name
+	 */
+	public DutyTable(String vm) {
+		this.vm = vm;
+	}
+
+	/**
+	 * Take the VMs that may exist.
+	 * @param known their records
+	 */
+	public void know(Collection<VmRecord> known) {
+		this.records.clear();
+		known.forEach((record) -> this.records.put(record.vm(), record));
+		this.ranks.replaceAll((duty, rank) -> rank(duty));
+		this.links.keySet().retainAll(this.records.keySet());
+	}
+
+	/**
+	 * Take the duties that matter to this VM.
+	 * @param duties all of them
+	 */
+	public void want(Collection<Duty> duties) {
+		this.ranks.keySet().retainAll(duties);
+		duties.forEach((duty) -> this.ranks.computeIfAbsent(duty, this::rank));
+	}
+
+	private List<String> rank(Duty duty) {
+		Map<Integer, List<String>> byCapacity = new TreeMap<>(Comparator.reverseOrder());
+		this.records.values()
+			.stream()
+			.filter(duty::mayBeHeldBy)
+			.forEach((record) -> byCapacity.computeIfAbsent(record.capacity(), (key) -> new ArrayList<>())
+				.add(record.vm()));
+		List<String> ranked = new ArrayList<>();
+		byCapacity.values()
+			.forEach((equals) -> ranked.addAll(RendezvousHash.top(duty.subject(), equals, equals.size())));
+		return ranked;
+	}
+
+	/**
+	 * Return the VM that holds a duty.
+	 * @param duty the duty
+	 * @return the VM's name; this VM's if it knows no other that works
+	 */
+	public String holder(Duty duty) {
+		for (String name : this.ranks.getOrDefault(duty, List.of())) {
+			PeerLink link = this.links.get(name);
+			if (isThisAndWorks(name) || (link != null && link.working())) {
+				return name;
+			}
+		}
+		return this.vm;
+	}
+
+	private boolean isThisAndWorks(String name) {
+		return name.equals(this.vm) && !this.draining;
+	}
+
+	/**
+	 * Find the VMs that are to be asked now whether they live. To be called every few
+	 * hundred milliseconds at least.
+	 * @param nowMs the steady clock
+	 * @return their records
+	 */
+	public List<VmRecord> tick(long nowMs) {
+		forgiveIfStoodStill(nowMs);
+		Map<String, Boolean> roles = new HashMap<>();
+		this.ranks.values().forEach((rank) -> collectRoles(rank, roles, nowMs));
+		List<VmRecord> due = new ArrayList<>();
+		roles.forEach((name, asHolder) -> {
+			if (link(name).ask(asHolder, nowMs)) {
+				due.add(this.records.get(name));
+			}
+		});
+		return due;
+	}
+
+	private void forgiveIfStoodStill(long nowMs) {
+		long pause = (this.tickedMs < 0) ? 0 : nowMs - this.tickedMs;
+		this.tickedMs = nowMs;
+		if (pause > STOOD_STILL_MS) {
+			this.links.values().forEach((link) -> link.forgive(pause));
+		}
+	}
+
+	private void collectRoles(List<String> rank, Map<String, Boolean> roles, long nowMs) {
+		int working = 0;
+		for (String name : rank) {
+			if (working >= WANTED || isThisAndWorks(name)) {
+				return;
+			}
+			if (name.equals(this.vm)) {
+				continue;
+			}
+			PeerLink link = link(name);
+			boolean asHolder = link.working() && working == 0;
+			roles.merge(name, asHolder, Boolean::logicalOr);
+			if (link.working() || link.mayAnswerYet(nowMs)) {
+				working++;
+			}
+		}
+	}
+
+	private PeerLink link(String name) {
+		return this.links.computeIfAbsent(name, (key) -> new PeerLink());
+	}
+
+	/**
+	 * Take a VM's answer.
+	 * @param name the VM
+	 * @param incarnation its incarnation
+	 * @param drains whether it is about to stop
+	 * @param nowMs the steady clock
+	 * @return what the answer changes
+	 */
+	public Change onAnswer(String name, long incarnation, boolean drains, long nowMs) {
+		if (!this.records.containsKey(name)) {
+			return Change.NONE;
+		}
+		PeerLink link = link(name);
+		boolean before = link.live();
+		boolean restarted = link.onAnswer(incarnation, drains, nowMs);
+		if (restarted) {
+			return Change.RESTARTED;
+		}
+		return before ? Change.NONE : Change.FOUND;
+	}
+
+	/**
+	 * Find the VMs that have not answered for too long; they count as lost from now on.
+	 * @param nowMs the steady clock
+	 * @return their names
+	 */
+	public List<String> takeSilent(long nowMs) {
+		List<String> silent = new ArrayList<>();
+		this.links.forEach((name, link) -> {
+			if (link.silent(nowMs)) {
+				link.lose();
+				silent.add(name);
+			}
+		});
+		return silent;
+	}
+
+	/**
+	 * Take note that the connection to a VM was closed. The VM may live: it is asked
+	 * again at once.
+	 * @param name the VM
+	 * @return whether it counted as live until now
+	 */
+	public boolean onClosed(String name) {
+		PeerLink link = this.links.get(name);
+		if (link == null || !link.live()) {
+			return false;
+		}
+		link.lose();
+		link.askSoon();
+		return true;
+	}
+
+	/** Take note that this VM is about to stop: it holds nothing from now on. */
+	public void drain() {
+		this.draining = true;
+	}
+
+	/**
+	 * Return whether this VM is about to stop.
+	 * @return true if it is
+	 */
+	public boolean draining() {
+		return this.draining;
+	}
+
+	/**
+	 * Return what is known of a VM.
+	 * @param name the VM
+	 * @return its record
+	 */
+	public Optional<VmRecord> record(String name) {
+		return Optional.ofNullable(this.records.get(name));
+	}
+
+	/**
+	 * Return how many VMs are known, whether they live or not.
+	 * @return the count; 0 while no record was read
+	 */
+	public int known() {
+		return this.records.size();
+	}
+
+	/**
+	 * Return how many of the VMs that this one asks are live.
+	 * @return the count, without this VM
+	 */
+	public int live() {
+		return (int) this.links.values().stream().filter(PeerLink::live).count();
+	}
+
+	/** What an answer changes. */
+	public enum Change {
+
+		/** Nothing. */
+		NONE,
+		/** The VM was not live before. */
+		FOUND,
+		/** The VM has started anew, and forgotten what it was asked. */
+		RESTARTED
+
+	}
+
+}
--- a/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
+++ b/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
@@ -1,7 +1,5 @@
 package org.tallycart.core.serving;
 
-import java.util.List;
-
 import org.tallycart.core.ini.Address;
 
 /**
@@ -15,13 +13,13 @@
  * @param callers where callers are accepted
  * @param readiness where the platform asks whether the VM is ready
  * @param peerPort where other VMs are accepted; the same on all VMs
- * @param seeds addresses of a few VMs, which may be out of date
+ * @param capacity the VM's processor time, in thousandths of a core
  * @param store the platform's store
  * @param bounds figures to be kept
  * @since 0.1
  */
 public record NodeSettings(String vm, String ip, String failureDomain, Address callers, Address readiness, int peerPort,
-		List<String> seeds, Address store, Bounds bounds) {
+		int capacity, Address store, Bounds bounds) {
 
 	/**
 	 * Figures that the operators of the platform set.
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -41,7 +41,7 @@
 
 	private boolean outage;
 
-	private long trustedFromMs = Long.MIN_VALUE;
+	private long trustedFromMs = Long.MIN_VALUE / 2;
 
 	/**
 	 * Take the whole list.
@@ -107,6 +107,23 @@
 		}
 	}
 
+	/**
+	 * Return how long entries that vanish may still come back.
+	 * @param nowMs the steady clock
+	 * @return milliseconds; 0 where what vanishes is gone
+	 */
+	public long untrustedMs(long nowMs) {
+		return this.outage ? RENEWAL_MS : Math.max(this.trustedFromMs - nowMs, 0);
+	}
+
+	/**
+	 * Take note that entries that vanish may still come back until some time.
+	 * @param untilMs that time, on the steady clock
+	 */
+	public void distrustUntil(long untilMs) {
+		this.trustedFromMs = Math.max(this.trustedFromMs, untilMs);
+	}
+
 	/**
 	 * Drop entries that should have been renewed by now.
 	 * @param nowMs the steady clock
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -1,5 +1,6 @@
 package org.tallycart.node;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -9,6 +10,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.vavr.control.Either;
+import org.tallycart.core.fleet.Duty;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.NodeSettings;
 import org.tallycart.core.serving.ServingConfig;
@@ -29,7 +31,6 @@
 import org.tallycart.node.store.ConfigInForce;
 import org.tallycart.node.store.StoreLink;
 import org.tallycart.platform.store.ObjectClient;
-import org.tallycart.platform.store.VmRecords;
 import org.tallycart.runtime.event.EventCode;
 import org.tallycart.runtime.process.Clocks;
 import org.tallycart.runtime.process.Guard;
@@ -47,12 +48,6 @@
 	/** Time between two looks at what has expired, in milliseconds. */
 	private static final long HOUSEKEEPING_MS = 200;
 
-	/**
-	 * Time between two looks at the other VMs' records, in milliseconds. They are cheap,
-	 * and tell at the same time whether the store can be reached.
-	 */
-	private static final long RECORDS_MS = 1_000;
-
 	/**
 	 * How long callers are still accepted after a stop began, in milliseconds: the
 	 * platform asks once a second and needs two misses.
@@ -91,8 +86,6 @@
 
 	private final PeerMesh mesh;
 
-	private final VmRecords records;
-
 	private final StoreLink store;
 
 	private final RetryBudgets budgets;
@@ -101,8 +94,6 @@
 
 	private final WireTransport transport;
 
-	private boolean storeMissed;
-
 	private Optional<Listeners> listeners = Optional.empty();
 
 	private Runnable drainAction = () -> {
@@ -117,11 +108,10 @@
 		HandleReturns returns = new HandleReturns(this.http, this.loop, this.directory);
 		this.pieces = new PieceService(settings.vm(), this.http, this.loop, this.log, this.config, this.directory,
 				returns, this.metrics);
-		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log, this.pieces);
 		ObjectClient objects = new ObjectClient(this.http, this.loop.executor(), settings.store());
-		this.records = new VmRecords(objects);
-		this.store = new StoreLink(objects, this.loop, this.log, this.config, this.directory, this.pieces::onChange);
-		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this.mesh::liveVms);
+		this.store = new StoreLink(settings, objects, this.loop, this.log, this.config, this.directory, this::onChange);
+		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log, this.pieces, this.store);
+		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this::vmsSharingBudgets);
 		Serving serving = new Serving(settings.failureDomain(), this.loop, this.log, this.http, this.directory,
 				this.pieces, this.budgets, this.metrics);
 		this.callerHandler = new CallerHandler(serving, this.config);
@@ -149,10 +139,21 @@
 		}
 	}
 
+	private int vmsSharingBudgets() {
+		return Math.max(this.mesh.knownVms(), 1);
+	}
+
+	private void onChange() {
+		List<Duty> duties = new ArrayList<>(this.pieces.duties());
+		duties.add(this.store.duty());
+		this.mesh.want(duties);
+		this.pieces.onChange();
+	}
+
 	private Either<String, Listeners> listen() {
 		Address metricsAddress = new Address(this.settings.ip(), this.metricsPort);
 		Address peers = new Address(this.settings.ip(), this.settings.peerPort());
-		return this.transport.listen(peers, (peer, message) -> this.mesh.receive(message))
+		return this.transport.listen(peers, this.mesh::receive)
 			.flatMap((wire) -> HttpServer.start(this.group, this.settings.readiness(), this.readiness)
 				.flatMap((ready) -> HttpServer.start(this.group, this.settings.callers(), this.callerHandler)
 					.flatMap((callers) -> HttpServer.start(this.group, metricsAddress, new MetricsPage(this.metrics))
@@ -189,39 +190,16 @@
 		this.metrics.gauge("config.version", () -> this.config.current().map(ServingConfig::version).orElse(0L));
 		this.metrics.gauge("vms.live", this.mesh::liveVms);
 		this.metrics.gauge("pieces.outstanding", this.pieces::outstanding);
-		this.metrics.gauge("store.missed", () -> this.storeMissed ? 1 : 0);
+		this.metrics.gauge("store.missed", () -> this.store.missed() ? 1 : 0);
+		this.metrics.gauge("store.following", () -> this.store.following() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
 				"callers", this.settings.callers(), "store", this.settings.store());
-		this.store.start();
-		this.mesh
-			.know(this.settings.seeds().stream().map((host) -> new Address(host, this.settings.peerPort())).toList());
-		this.mesh.start(listeners.peers());
+		this.mesh.want(List.of(this.store.duty()));
+		this.mesh.start();
+		this.store.start(this.mesh, listeners.peers());
 		this.pieces.start(this.mesh);
 		this.loop.every(HOUSEKEEPING_MS, this::housekeeping);
-		publish(listeners.peers());
-		this.loop.every(RECORDS_MS, this::readRecords);
-	}
-
-	private void publish(Address peers) {
-		this.records.publish(this.settings.vm(), peers, (done) -> {
-			if (done) {
-				readRecords();
-			}
-			else {
-				this.loop.after(RECORDS_MS, () -> publish(peers));
-			}
-		});
-	}
-
-	private void readRecords() {
-		this.records.read((found) -> {
-			found.peek(this.mesh::know);
-			if (found.isRight() && this.storeMissed) {
-				this.store.renew();
-			}
-			this.storeMissed = found.isLeft();
-		});
 	}
 
 	private void housekeeping() {
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -1,50 +1,40 @@
 package org.tallycart.node.peer;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-import io.vavr.control.Either;
+import org.tallycart.core.fleet.Duty;
+import org.tallycart.core.fleet.DutyTable;
+import org.tallycart.core.fleet.VmRecord;
 import org.tallycart.core.ini.Address;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.runtime.event.EventCode;
+import org.tallycart.wire.WireClient;
+import org.tallycart.wire.WireListener;
+import org.tallycart.wire.WirePeer;
 import org.tallycart.wire.WireTransport;
 import org.tallycart.wire.message.Envelope;
 import org.tallycart.wire.message.NodeBeat;
-import org.tallycart.wire.message.PeerBrief;
 
 /**
- * Keeps in touch with the other VMs. Each sends beats to each other one, with the names
- * of those it hears, so that a path that is cut in one direction is noticed at both ends.
+ * Carries messages between VMs, and asks those that hold a duty, and the next in rank,
+ * whether they live. An answer comes back on the connection of its question, so it shows
+ * that the path is whole both ways.
  * <p>
- * Invariant: a VM counts as live only while it is heard and says that it hears this one.
- * Not thread-safe: belongs to the event loop.
+ * Invariant: a VM that does not answer gets nothing new, and its connection is made anew
+ * before it counts as live again. Not thread-safe: belongs to the event loop.
  *
  * @since 0.1
  */
 public final class PeerMesh {
 
-	/**
-	 * Time between two beats, in milliseconds: a lost VM is noticed within four of them.
-	 */
-	static final long BEAT_MS = 200;
-
-	/** A VM that is not heard for this long is not live, in milliseconds. */
-	private static final long SILENCE_MS = 800;
-
-	/** How old a peer's own news of hearing this VM may be, in milliseconds. */
-	private static final long HEARS_MS = 1_000;
-
-	/** Time between two tries to reach a VM that is silent, in milliseconds. */
-	private static final long RETRY_MS = 2_000;
-
-	private final String vm;
+	/** Time between two looks at who has to be asked, in milliseconds. */
+	static final long TICK_MS = 100;
 
-	private Address own = new Address("", 0);
+	private final DutyTable table;
 
 	private final WireTransport transport;
 
@@ -54,9 +44,11 @@
 
 	private final PeerMessages messages;
 
-	private final Map<Address, Peer> peers = new HashMap<>();
+	private final BeatListener beats;
 
-	private boolean draining;
+	private final Map<Address, WireClient> clients = new HashMap<>();
+
+	private final Map<String, WirePeer> askers = new HashMap<>();
 
 	/**
 	 * Create a mesh.
@@ -65,142 +57,179 @@
 	 * @param loop the event loop
 	 * @param log where changes are written
 	 * @param messages takes what is not a beat
+	 * @param beats adds to beats
 	 */
-	public PeerMesh(String vm, WireTransport transport, Loop loop, NodeLog log, PeerMessages messages) {
-		this.vm = vm;
+	public PeerMesh(String vm, WireTransport transport, Loop loop, NodeLog log, PeerMessages messages,
+			BeatListener beats) {
+		this.table = new DutyTable(vm);
 		this.transport = transport;
 		this.loop = loop;
 		this.log = log;
 		this.messages = messages;
+		this.beats = beats;
+	}
+
+	/** Begin to keep in touch. */
+	public void start() {
+		this.loop.every(TICK_MS, this::tick);
+	}
+
+	/**
+	 * Take the VMs that may exist.
+	 * @param records what they tell of themselves
+	 */
+	public void know(Collection<VmRecord> records) {
+		this.table.know(records);
 	}
 
 	/**
-	 * Begin to send beats.
-	 * @param address where this VM accepts others
+	 * Take the duties that matter to this VM.
+	 * @param duties all of them
 	 */
-	public void start(Address address) {
-		this.own = address;
-		this.peers.remove(address);
-		this.loop.every(BEAT_MS, this::beat);
+	public void want(Collection<Duty> duties) {
+		this.table.want(duties);
 	}
 
 	/**
-	 * Take note of VMs that may exist.
-	 * @param addresses where they accept others
+	 * Return the VM that holds a duty, as this VM sees it.
+	 * @param duty the duty
+	 * @return the VM's name; this VM's if it knows no other that works
 	 */
-	public void know(Collection<Address> addresses) {
-		addresses.stream().filter((address) -> !address.equals(this.own)).forEach(this::know);
+	public String holder(Duty duty) {
+		return this.table.holder(duty);
+	}
+
+	private void tick() {
+		this.table.takeSilent(this.loop.nowMs()).forEach((vm) -> lose(vm, "silent"));
+		this.table.tick(this.loop.nowMs()).forEach(this::ask);
+	}
+
+	private void ask(VmRecord record) {
+		NodeBeat.Builder question = NodeBeat.newBuilder().setDraining(this.table.draining());
+		this.beats.onAsking(record.vm(), question);
+		client(record).send(Envelope.newBuilder().setNodeBeat(question));
+	}
+
+	private WireClient client(VmRecord record) {
+		return this.clients.computeIfAbsent(record.address(),
+				(address) -> this.transport.client(address, new Inbound(record.vm())));
 	}
 
-	private Peer know(Address address) {
-		return this.peers.computeIfAbsent(address, (key) -> new Peer(key, this.transport.client(key, this::receive)));
+	// The connection may be dead without having been closed, so it is made anew.
+	private void lose(String vm, String reason) {
+		this.log.event(EventCode.VM_LOST, "vm", vm, "reason", reason);
+		this.table.record(vm).map((record) -> this.clients.get(record.address())).ifPresent(WireClient::cut);
+		this.messages.onLost(vm);
 	}
 
 	/**
-	 * Take a message of another VM.
+	 * Take a message that came on a connection that another VM has made.
+	 * @param peer the connection
 	 * @param message the message
 	 */
-	public void receive(Envelope message) {
+	public void receive(WirePeer peer, Envelope message) {
+		String vm = message.getSenderVm();
+		this.askers.put(vm, peer);
 		if (!message.hasNodeBeat()) {
-			this.messages.onMessage(message.getSenderVm(), message);
+			deliver(message);
 			return;
 		}
-		NodeBeat beat = message.getNodeBeat();
-		Either<String, Address> sender = Address.parse(beat.getAddress());
-		if (sender.isRight() && !sender.get().equals(this.own)) {
-			onBeat(know(sender.get()), message, beat);
-		}
+		NodeBeat.Builder answer = NodeBeat.newBuilder().setAnswer(true).setDraining(this.table.draining());
+		this.beats.onAsked(vm, message.getNodeBeat(), answer);
+		peer.send(Envelope.newBuilder().setNodeBeat(answer));
 	}
 
-	private void onBeat(Peer peer, Envelope message, NodeBeat beat) {
-		boolean restarted = !peer.vm().isEmpty() && peer.incarnation() != message.getSenderIncarnation();
-		if (restarted && peer.live()) {
-			lose(peer, "restarted");
-		}
-		long age = beat.getPeersList()
-			.stream()
-			.filter((brief) -> brief.getVm().equals(this.vm))
-			.mapToLong(PeerBrief::getAgeMs)
-			.findFirst()
-			.orElse(Long.MAX_VALUE);
-		peer.onBeat(message.getSenderVm(), message.getSenderIncarnation(), beat.getDraining(), age, this.loop.nowMs());
-		review(peer);
-	}
-
-	private void review(Peer peer) {
-		boolean live = peer.heardWithin(SILENCE_MS, this.loop.nowMs()) && peer.hearsThis(HEARS_MS);
-		if (live && peer.setLive(true)) {
-			this.log.event(EventCode.VM_HEARD, "vm", peer.vm(), "address", peer.address());
+	private void deliver(Envelope message) {
+		if (message.hasFeedUpdate()) {
+			this.beats.onUpdate(message.getFeedUpdate());
 		}
-		else if (!live && peer.live()) {
-			lose(peer, "silent for " + peer.heardAgeMs(this.loop.nowMs()) + " ms");
+		else {
+			this.messages.onMessage(message.getSenderVm(), message);
 		}
 	}
 
-	private void lose(Peer peer, String reason) {
-		peer.setLive(false);
-		this.log.event(EventCode.VM_LOST, "vm", peer.vm(), "reason", reason);
-		this.messages.onLost(peer.vm());
-	}
-
-	private void beat() {
-		long now = this.loop.nowMs();
-		new ArrayList<>(this.peers.values()).forEach(this::review);
-		NodeBeat.Builder beat = NodeBeat.newBuilder().setAddress(this.own.toString()).setDraining(this.draining);
-		for (Peer peer : this.peers.values()) {
-			if (peer.heardWithin(SILENCE_MS, now)) {
-				beat.addPeers(PeerBrief.newBuilder().setVm(peer.vm()).setAgeMs((int) peer.heardAgeMs(now)));
+	private void onAnswer(Envelope message) {
+		String vm = message.getSenderVm();
+		NodeBeat beat = message.getNodeBeat();
+		switch (this.table.onAnswer(vm, message.getSenderIncarnation(), beat.getDraining(), this.loop.nowMs())) {
+			case FOUND -> this.log.event(EventCode.VM_HEARD, "vm", vm);
+			case RESTARTED -> {
+				this.log.event(EventCode.VM_LOST, "vm", vm, "reason", "restarted");
+				this.messages.onLost(vm);
 			}
-		}
-		for (Peer peer : this.peers.values()) {
-			if (peer.heardWithin(SILENCE_MS, now) || peer.tryNow(RETRY_MS, now)) {
-				peer.client().send(Envelope.newBuilder().setNodeBeat(beat));
+			case NONE -> {
+				// The usual case: a VM that lives goes on living.
 			}
 		}
+		this.beats.onAnswered(vm, beat);
 	}
 
 	/**
-	 * Send a message to a VM.
-	 * @param name the VM
+	 * Send a message to a VM that holds a duty.
+	 * @param vm the VM
 	 * @param message the message
 	 */
-	public void send(String name, Envelope.Builder message) {
-		peer(name).ifPresent((peer) -> peer.client().send(message));
+	public void send(String vm, Envelope.Builder message) {
+		this.table.record(vm).ifPresent((record) -> client(record).send(message));
 	}
 
-	private Optional<Peer> peer(String name) {
-		return this.peers.values().stream().filter((peer) -> peer.vm().equals(name)).findFirst();
+	/**
+	 * Send a message to a VM that has asked this one for something, on the connection
+	 * that it made. If that is closed, the VM knows that answers may be lost.
+	 * @param vm the VM
+	 * @param message the message
+	 */
+	public void answer(String vm, Envelope.Builder message) {
+		Optional.ofNullable(this.askers.get(vm)).filter(WirePeer::open).ifPresent((peer) -> peer.send(message));
 	}
 
 	/**
-	 * Return the VMs that can take work for others.
-	 * @return names of live VMs that are not draining, this one included unless it is
+	 * Return how many VMs are known to exist or to have existed.
+	 * @return the count; 0 while nothing is known
 	 */
-	public List<String> workingVms() {
-		List<String> names = new ArrayList<>();
-		if (!this.draining) {
-			names.add(this.vm);
-		}
-		for (Peer peer : this.peers.values()) {
-			if (peer.live() && !peer.draining()) {
-				names.add(peer.vm());
-			}
-		}
-		return names;
+	public int knownVms() {
+		return this.table.known();
 	}
 
 	/**
-	 * Return how many VMs live.
-	 * @return the count, this one included
+	 * Return how many VMs that this one asks are live.
+	 * @return the count
 	 */
 	public int liveVms() {
-		return 1 + (int) this.peers.values().stream().filter(Peer::live).count();
+		return this.table.live();
 	}
 
-	/** Tell the others that this VM leaves. */
+	/** Tell the others, when they ask, that this VM leaves. */
 	public void drain() {
-		this.draining = true;
-		beat();
+		this.table.drain();
+	}
+
+	/** Takes what comes on a connection that this VM has made. */
+	private final class Inbound implements WireListener {
+
+		private final String vm;
+
+		private Inbound(String vm) {
+			this.vm = vm;
+		}
+
+		@Override
+		public void onMessage(Envelope message) {
+			if (message.hasNodeBeat()) {
+				onAnswer(message);
+			}
+			else {
+				deliver(message);
+			}
+		}
+
+		@Override
+		public void onClosed() {
+			if (PeerMesh.this.table.onClosed(this.vm)) {
+				lose(this.vm, "connection closed");
+			}
+		}
+
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -5,8 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
-import org.tallycart.core.membership.RendezvousHash;
+import org.tallycart.core.fleet.Duty;
 import org.tallycart.core.pool.PieceAsker;
 import org.tallycart.core.pool.PieceId;
 import org.tallycart.core.pool.PieceJob;
@@ -107,6 +108,19 @@
 		this.loop.every(PoolDriver.TICK_MS, () -> this.drivers.values().forEach(PoolDriver::tick));
 	}
 
+	/**
+	 * Return the duties of VMs that this one may ask for pieces.
+	 * @return one for each pool of the configuration
+	 */
+	public List<Duty> duties() {
+		return this.config.current()
+			.map((current) -> current.services().values().stream())
+			.orElse(Stream.empty())
+			.filter((service) -> service.pool().isPresent())
+			.map((service) -> Duty.dispatch(service.name()))
+			.toList();
+	}
+
 	/** Take note that the configuration or the list of upstreams has changed. */
 	public void onChange() {
 		this.drivers
@@ -142,8 +156,7 @@
 	}
 
 	private String dispatcher(String service) {
-		List<String> working = this.mesh.map(PeerMesh::workingVms).orElse(List.of());
-		return RendezvousHash.first(service, working).orElse(this.vm);
+		return this.mesh.map((peers) -> peers.holder(Duty.dispatch(service))).orElse(this.vm);
 	}
 
 	private void askHere(PieceJob job, PieceAsker asker) {
@@ -233,7 +246,8 @@
 			this.releasesToSend
 				.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceReleases(message)));
 			this.asksToSend.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceAsks(message)));
-			this.answersToSend.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceAnswers(message)));
+			this.answersToSend
+				.forEach((to, message) -> peers.answer(to, Envelope.newBuilder().setPieceAnswers(message)));
 		});
 		this.withdrawalsToSend.clear();
 		this.releasesToSend.clear();
--- /dev/null
+++ b/node/src/main/java/org/tallycart/node/store/ConfigSink.java
@@ -0,0 +1,53 @@
+package org.tallycart.node.store;
+
+import java.util.List;
+
+import org.tallycart.node.log.NodeLog;
+import org.tallycart.platform.store.ConfigDecoder;
+import org.tallycart.platform.store.ObjectChange;
+import org.tallycart.platform.store.StoredObject;
+import org.tallycart.runtime.event.EventCode;
+
+/**
+ * Offers configurations to be put in force.
+ * <p>
+ * Not thread-safe: belongs to the event loop.
+ */
+final class ConfigSink implements ObjectSink {
+
+	private final ConfigInForce config;
+
+	private final NodeLog log;
+
+	private final Runnable onChange;
+
+	ConfigSink(ConfigInForce config, NodeLog log, Runnable onChange) {
+		this.config = config;
+		this.log = log;
+		this.onChange = onChange;
+	}
+
+	@Override
+	public void onAll(List<StoredObject> objects) {
+		objects.forEach(this::take);
+	}
+
+	@Override
+	public void onChanges(List<ObjectChange> changes) {
+		changes.stream().filter((change) -> !change.gone()).map(ObjectChange::object).forEach(this::take);
+	}
+
+	private void take(StoredObject object) {
+		if (!ConfigDecoder.NAME.equals(object.name())) {
+			return;
+		}
+		ConfigDecoder.decode(object.spec()).peek((fresh) -> {
+			if (this.config.offer(fresh)) {
+				this.onChange.run();
+			}
+		})
+			.peekLeft((reason) -> this.log.event(EventCode.CONFIG_REJECTED, "revision", object.revision(), "reason",
+					reason));
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/org/tallycart/node/store/ObjectSink.java
@@ -0,0 +1,49 @@
+package org.tallycart.node.store;
+
+import java.util.List;
+
+import org.tallycart.platform.store.ObjectChange;
+import org.tallycart.platform.store.StoredObject;
+
+/**
+ * Takes what is known of one kind of object, wherever it comes from. Called on the event
+ * loop.
+ */
+interface ObjectSink {
+
+	/**
+	 * Take all objects.
+	 * @param objects the objects
+	 */
+	void onAll(List<StoredObject> objects);
+
+	/**
+	 * Take changes.
+	 * @param changes the changes in their order
+	 */
+	void onChanges(List<ObjectChange> changes);
+
+	/** Take note that the store does not answer. */
+	default void onStoreLost() {
+	}
+
+	/** Take note that the store has answered. */
+	default void onStoreReached() {
+	}
+
+	/**
+	 * Return how long objects that vanish may still come back.
+	 * @return milliseconds; 0 where what vanishes is gone
+	 */
+	default long untrustedMs() {
+		return 0;
+	}
+
+	/**
+	 * Take note that objects that vanish may still come back.
+	 * @param ms for how long, in milliseconds
+	 */
+	default void distrust(long ms) {
+	}
+
+}
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -1,49 +1,99 @@
 package org.tallycart.node.store;
 
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import java.util.Optional;
 
-import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.fleet.Duty;
+import org.tallycart.core.fleet.VmRecord;
+import org.tallycart.core.ini.Address;
+import org.tallycart.core.serving.NodeSettings;
 import org.tallycart.core.upstream.UpstreamDirectory;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.peer.BeatListener;
+import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.platform.store.ConfigDecoder;
-import org.tallycart.platform.store.FeedListener;
-import org.tallycart.platform.store.ObjectChange;
 import org.tallycart.platform.store.ObjectClient;
-import org.tallycart.platform.store.ObjectFeed;
-import org.tallycart.platform.store.StoreError;
-import org.tallycart.platform.store.StoredObject;
 import org.tallycart.platform.store.UpstreamDecoder;
+import org.tallycart.platform.store.VmRecords;
 import org.tallycart.runtime.event.EventCode;
+import org.tallycart.wire.message.Envelope;
+import org.tallycart.wire.message.Feed;
+import org.tallycart.wire.message.FeedRevision;
+import org.tallycart.wire.message.FeedUpdate;
+import org.tallycart.wire.message.NodeBeat;
 
 /**
- * Follows the configuration and the list of upstreams in the platform's store. While the
- * store is away, what was read last stays in force.
+ * Learns the configuration, the upstreams and the other VMs' records. One VM of each
+ * failure domain follows the platform's store and passes on what it reads, since each
+ * call has a price; a VM follows the store itself while it has no such VM that answers
+ * and that the store answers.
  * <p>
- * Not thread-safe: belongs to the event loop.
+ * While the store is away, what was read last stays in force. Not thread-safe: belongs to
+ * the event loop.
  *
  * @since 0.1
  */
-public final class StoreLink {
+public final class StoreLink implements BeatListener {
+
+	/** Time between two looks at whom to follow, in milliseconds. */
+	private static final long REVIEW_MS = 100;
+
+	/**
+	 * How long another VM has to be fit to be followed before it is, in milliseconds: the
+	 * store's changes have reached it by then.
+	 */
+	private static final long SETTLE_MS = 1_500;
+
+	/**
+	 * Time between two looks at whether the store answers, in milliseconds, while others
+	 * follow this VM; see {@link SourceHealth}.
+	 */
+	private static final long PROBE_FOR_OTHERS_MS = 400;
+
+	/** The same while no other does. */
+	private static final long PROBE_MS = 1_000;
+
+	/**
+	 * When to leave this VM's record in the store is tried again, in milliseconds.
+	 */
+	private static final long PUBLISH_RETRY_MS = 1_000;
+
+	private final NodeSettings settings;
+
+	private final Duty duty;
 
 	private final Loop loop;
 
 	private final NodeLog log;
 
-	private final ConfigInForce config;
+	private final VmRecords records;
+
+	private final RecordSink recordSink;
+
+	private final List<FollowedKind> kinds;
 
-	private final UpstreamDirectory directory;
+	private final Subscribers subscribers = new Subscribers();
 
-	private final Runnable onChange;
+	private final Map<String, SourceHealth> sources = new HashMap<>();
 
-	private final ObjectFeed configFeed;
+	private Optional<PeerMesh> mesh = Optional.empty();
 
-	private final ObjectFeed upstreamFeed;
+	private boolean following;
+
+	private boolean missed;
+
+	private long contactMs;
+
+	private boolean contact;
+
+	private long probedMs;
 
 	/**
 	 * Create a link.
+	 * @param settings names this VM
 	 * @param client makes the calls
 	 * @param loop the event loop
 	 * @param log where changes are written
@@ -51,147 +101,164 @@
 	 * @param directory takes upstreams
 	 * @param onChange runs after each change of either
 	 */
-	public StoreLink(ObjectClient client, Loop loop, NodeLog log, ConfigInForce config, UpstreamDirectory directory,
-			Runnable onChange) {
+	public StoreLink(NodeSettings settings, ObjectClient client, Loop loop, NodeLog log, ConfigInForce config,
+			UpstreamDirectory directory, Runnable onChange) {
+		this.settings = settings;
+		this.duty = Duty.follow(settings.failureDomain());
 		this.loop = loop;
 		this.log = log;
-		this.config = config;
-		this.directory = directory;
-		this.onChange = onChange;
-		this.configFeed = new ObjectFeed(client, loop.executor(), ConfigDecoder.KIND, new ConfigListener());
-		this.upstreamFeed = new ObjectFeed(client, loop.executor(), UpstreamDecoder.KIND, new UpstreamListener());
+		this.records = new VmRecords(client);
+		this.recordSink = new RecordSink(log, (all) -> this.mesh.ifPresent((peers) -> peers.know(all)));
+		this.kinds = List.of(
+				kind(Feed.CONFIGURATION, ConfigDecoder.KIND, client, new ConfigSink(config, log, onChange)),
+				kind(Feed.UPSTREAMS, UpstreamDecoder.KIND, client, new UpstreamSink(directory, loop, log, onChange)),
+				kind(Feed.VMS, VmRecords.KIND, client, this.recordSink));
 	}
 
-	/** Begin to follow. */
-	public void start() {
-		this.configFeed.start();
-		this.upstreamFeed.start();
+	private FollowedKind kind(Feed feed, String kind, ObjectClient client, ObjectSink sink) {
+		return new FollowedKind(feed, kind, client, this.loop, this.log, sink, this::onContact, this::publish);
 	}
 
-	/** Go on at once, because the store can be reached again. */
-	public void renew() {
-		this.configFeed.renew();
-		this.upstreamFeed.renew();
+	/**
+	 * Return the duty of following the store for this VM's failure domain.
+	 * @return the duty
+	 */
+	public Duty duty() {
+		return this.duty;
 	}
 
-	private void takeConfig(StoredObject object) {
-		if (!ConfigDecoder.NAME.equals(object.name())) {
-			return;
-		}
-		ConfigDecoder.decode(object.spec()).peek((fresh) -> {
-			if (this.config.offer(fresh)) {
-				this.onChange.run();
-			}
-		})
-			.peekLeft((reason) -> this.log.event(EventCode.CONFIG_REJECTED, "revision", object.revision(), "reason",
-					reason));
+	/**
+	 * Begin to follow.
+	 * @param peers the other VMs
+	 * @param address where this VM accepts them
+	 */
+	public void start(PeerMesh peers, Address address) {
+		this.mesh = Optional.of(peers);
+		follow("start");
+		publish(new VmRecord(this.settings.vm(), address, this.settings.failureDomain(), this.settings.capacity()));
+		this.loop.every(REVIEW_MS, this::review);
 	}
 
-	private void takeUpstream(UpstreamEntry entry) {
-		this.log.event(EventCode.UPSTREAM_LISTED, "upstream", entry.id(), "service", entry.service(), "address",
-				entry.address(), "domain", entry.failureDomain(), "draining", entry.draining());
-		this.directory.put(entry);
+	private void publish(VmRecord own) {
+		this.records.publish(own, (done) -> {
+			if (!done) {
+				this.loop.after(PUBLISH_RETRY_MS, () -> publish(own));
+			}
+		});
 	}
 
-	private void unreadable(StoredObject object, String reason) {
-		this.log.event(EventCode.UPSTREAM_UNLISTED, "upstream", object.name(), "reason", reason);
+	private void follow(String reason) {
+		this.following = true;
+		this.log.event(EventCode.STORE_FOLLOWED, "by", "this VM", "reason", reason);
+		this.kinds.forEach(FollowedKind::follow);
 	}
 
-	/** Tells outages of the store apart from single calls, for one feed. */
-	private abstract class ReachListener implements FeedListener {
-
-		private boolean lost;
-
-		@Override
-		public void onLost(StoreError error) {
-			if (!this.lost) {
-				this.lost = true;
-				StoreLink.this.log.event(EventCode.STORE_LOST, "feed", feed(), "error", error.kind(), "detail",
-						error.detail());
-			}
+	private void review() {
+		long now = this.loop.nowMs();
+		String holder = this.mesh.map((peers) -> peers.holder(this.duty)).orElse(this.settings.vm());
+		SourceHealth health = this.sources.computeIfAbsent(holder, (key) -> new SourceHealth());
+		if (!this.following && !health.healthy(now)) {
+			follow(holder + " cannot be followed");
 		}
-
-		@Override
-		public void onReached() {
-			if (this.lost) {
-				this.lost = false;
-				StoreLink.this.log.event(EventCode.STORE_BACK, "feed", feed());
-			}
+		else if (this.following && health.healthyForMs(now) >= SETTLE_MS && allKnown()) {
+			this.following = false;
+			this.kinds.forEach(FollowedKind::stopFollowing);
+			this.log.event(EventCode.STORE_FOLLOWED, "by", holder, "reason", "it answers and the store answers it");
+		}
+		if (this.following) {
+			probeIfDue(now);
 		}
-
-		abstract String feed();
-
 	}
 
-	/** Takes configurations. */
-	private final class ConfigListener extends ReachListener {
-
-		@Override
-		String feed() {
-			return ConfigDecoder.KIND;
-		}
+	private boolean allKnown() {
+		return this.kinds.stream().allMatch(FollowedKind::known);
+	}
 
-		@Override
-		public void onList(List<StoredObject> objects) {
-			objects.forEach(StoreLink.this::takeConfig);
+	private void probeIfDue(long now) {
+		long period = this.subscribers.current(now).isEmpty() ? PROBE_MS : PROBE_FOR_OTHERS_MS;
+		if (now - this.probedMs < period) {
+			return;
 		}
+		this.probedMs = now;
+		this.records.probe((answered) -> onProbed(answered, now));
+	}
 
-		@Override
-		public void onChange(ObjectChange change) {
-			if (!change.gone()) {
-				takeConfig(change.object());
+	private void onProbed(boolean answered, long sentMs) {
+		if (answered) {
+			this.contact = true;
+			this.contactMs = Math.max(this.contactMs, sentMs);
+			if (this.missed && this.following) {
+				this.kinds.forEach(FollowedKind::follow);
 			}
 		}
-
+		this.missed = !answered;
 	}
 
-	/** Takes upstreams. */
-	private final class UpstreamListener extends ReachListener {
+	private void onContact() {
+		this.contact = true;
+		this.contactMs = this.loop.nowMs();
+	}
 
-		@Override
-		String feed() {
-			return UpstreamDecoder.KIND;
-		}
+	private void publish(FeedUpdate update) {
+		this.mesh.ifPresent((peers) -> this.subscribers.current(this.loop.nowMs())
+			.forEach((vm) -> peers.answer(vm, Envelope.newBuilder().setFeedUpdate(update))));
+	}
 
-		@Override
-		public void onLost(StoreError error) {
-			super.onLost(error);
-			StoreLink.this.directory.onStoreLost();
+	@Override
+	public void onAsking(String vm, NodeBeat.Builder question) {
+		boolean followed = !this.following
+				&& this.mesh.map((peers) -> peers.holder(this.duty).equals(vm)).orElse(false);
+		if (followed) {
+			question.setSubscribes(true);
+			this.kinds.forEach((kind) -> question
+				.addKnown(FeedRevision.newBuilder().setFeed(kind.feed()).setRevision(kind.revision())));
 		}
+	}
 
-		@Override
-		public void onReached() {
-			super.onReached();
-			StoreLink.this.directory.onStoreBack(StoreLink.this.loop.nowMs());
+	@Override
+	public void onAsked(String vm, NodeBeat question, NodeBeat.Builder answer) {
+		long now = this.loop.nowMs();
+		answer.setFollowsStore(this.following && this.contact).setStoreAgeMs((int) (now - this.contactMs));
+		if (question.getSubscribes()) {
+			this.subscribers.onAsked(vm, now);
+			question.getKnownList().forEach((known) -> sendMissing(vm, known, now));
 		}
+	}
 
-		@Override
-		public void onList(List<StoredObject> objects) {
-			List<UpstreamEntry> entries = new ArrayList<>();
-			for (StoredObject object : objects) {
-				UpstreamDecoder.decode(object).peek(entries::add).peekLeft((reason) -> unreadable(object, reason));
+	private void sendMissing(String vm, FeedRevision known, long now) {
+		for (FollowedKind kind : this.kinds) {
+			boolean lacks = kind.feed() == known.getFeed() && known.getRevision() < kind.revision();
+			if (lacks && this.subscribers.sendWhole(vm, kind.feed(), now)) {
+				this.mesh.ifPresent((peers) -> peers.answer(vm, Envelope.newBuilder().setFeedUpdate(kind.whole())));
 			}
-			Set<String> before = StoreLink.this.directory.ids();
-			StoreLink.this.directory.replace(entries, StoreLink.this.loop.nowMs());
-			entries.stream().filter((entry) -> !before.contains(entry.id())).forEach(StoreLink.this::takeUpstream);
-			StoreLink.this.onChange.run();
 		}
+	}
 
-		@Override
-		public void onChange(ObjectChange change) {
-			StoredObject object = change.object();
-			if (change.gone()) {
-				StoreLink.this.log.event(EventCode.UPSTREAM_UNLISTED, "upstream", object.name(), "reason", "removed");
-				StoreLink.this.directory.remove(object.name(), StoreLink.this.loop.nowMs());
-			}
-			else {
-				UpstreamDecoder.decode(object)
-					.peek(StoreLink.this::takeUpstream)
-					.peekLeft((reason) -> unreadable(object, reason));
-			}
-			StoreLink.this.onChange.run();
-		}
+	@Override
+	public void onAnswered(String vm, NodeBeat answer) {
+		this.sources.computeIfAbsent(vm, (key) -> new SourceHealth()).onAnswer(answer, this.loop.nowMs());
+	}
+
+	@Override
+	public void onUpdate(FeedUpdate update) {
+		this.kinds.stream().filter((kind) -> kind.feed() == update.getFeed()).forEach((kind) -> kind.onUpdate(update));
+	}
 
+	/**
+	 * Return whether this VM follows the store itself and its last question went
+	 * unanswered.
+	 * @return true if the store cannot be reached
+	 */
+	public boolean missed() {
+		return this.following && this.missed;
+	}
+
+	/**
+	 * Return whether this VM follows the store itself.
+	 * @return false if another VM passes on what it reads
+	 */
+	public boolean following() {
+		return this.following;
 	}
 
 }
--- /dev/null
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -0,0 +1,98 @@
+package org.tallycart.node.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.upstream.UpstreamDirectory;
+import org.tallycart.node.Loop;
+import org.tallycart.node.log.NodeLog;
+import org.tallycart.platform.store.ObjectChange;
+import org.tallycart.platform.store.StoredObject;
+import org.tallycart.platform.store.UpstreamDecoder;
+import org.tallycart.runtime.event.EventCode;
+
+/**
+ * Keeps the directory of upstreams up to date.
+ * <p>
+ * Not thread-safe: belongs to the event loop.
+ */
+final class UpstreamSink implements ObjectSink {
+
+	private final UpstreamDirectory directory;
+
+	private final Loop loop;
+
+	private final NodeLog log;
+
+	private final Runnable onChange;
+
+	UpstreamSink(UpstreamDirectory directory, Loop loop, NodeLog log, Runnable onChange) {
+		this.directory = directory;
+		this.loop = loop;
+		this.log = log;
+		this.onChange = onChange;
+	}
+
+	@Override
+	public void onAll(List<StoredObject> objects) {
+		List<UpstreamEntry> entries = new ArrayList<>();
+		for (StoredObject object : objects) {
+			UpstreamDecoder.decode(object).peek(entries::add).peekLeft((reason) -> unlisted(object, reason));
+		}
+		Set<String> before = this.directory.ids();
+		this.directory.replace(entries, this.loop.nowMs());
+		entries.stream().filter((entry) -> !before.contains(entry.id())).forEach(this::listed);
+		this.onChange.run();
+	}
+
+	@Override
+	public void onChanges(List<ObjectChange> changes) {
+		changes.forEach(this::take);
+		this.onChange.run();
+	}
+
+	private void take(ObjectChange change) {
+		StoredObject object = change.object();
+		if (change.gone()) {
+			unlisted(object, "removed");
+			this.directory.remove(object.name(), this.loop.nowMs());
+			return;
+		}
+		UpstreamDecoder.decode(object).peek((entry) -> {
+			listed(entry);
+			this.directory.put(entry);
+		}).peekLeft((reason) -> unlisted(object, reason));
+	}
+
+	private void listed(UpstreamEntry entry) {
+		this.log.event(EventCode.UPSTREAM_LISTED, "upstream", entry.id(), "service", entry.service(), "address",
+				entry.address(), "domain", entry.failureDomain(), "draining", entry.draining());
+	}
+
+	private void unlisted(StoredObject object, String reason) {
+		this.log.event(EventCode.UPSTREAM_UNLISTED, "upstream", object.name(), "reason", reason);
+	}
+
+	@Override
+	public void onStoreLost() {
+		this.directory.onStoreLost();
+	}
+
+	@Override
+	public void onStoreReached() {
+		this.directory.onStoreBack(this.loop.nowMs());
+	}
+
+	@Override
+	public long untrustedMs() {
+		return this.directory.untrustedMs(this.loop.nowMs());
+	}
+
+	@Override
+	public void distrust(long ms) {
+		this.directory.distrustUntil(this.loop.nowMs() + ms);
+	}
+
+}
--- a/node/src/test/java/org/tallycart/node/NodePathTests.java
+++ b/node/src/test/java/org/tallycart/node/NodePathTests.java
@@ -101,7 +101,7 @@
 
 	private NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
-		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, List.of(), this.store.address(),
+		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, this.store.address(),
 				new NodeSettings.Bounds(4_000, 0.2, 10_000, 50));
 	}
 
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -143,6 +143,9 @@
 	REPEAT_DENIED(6024, Level.INFO, "A request was not sent again, since the budget of repeats is spent."),
 	/** Log lines were left out. */
 	LINES_LEFT_OUT(6025, Level.WARN, "Log lines were left out to bound their volume; the detail holds how many."),
+	/** Whom this VM follows. */
+	STORE_FOLLOWED(6026, Level.INFO,
+			"The configuration and the upstreams are followed in the platform's store, or at a VM that passes them on."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
--- a/wire/src/main/java/org/tallycart/wire/WireClient.java
+++ b/wire/src/main/java/org/tallycart/wire/WireClient.java
@@ -140,7 +140,11 @@
 		return waiting != null && waiting.complete(outcome);
 	}
 
-	private synchronized void cut() {
+	/**
+	 * Close the connection, so that the next message makes a new one: the path may be
+	 * dead without either end having noticed.
+	 */
+	public synchronized void cut() {
 		if (this.connection != null) {
 			this.connection.channel().close();
 			this.connection = null;
@@ -193,6 +197,7 @@
 			for (Long correlation : WireClient.this.pending.keySet()) {
 				complete(correlation, Either.left(WireError.CLOSED));
 			}
+			WireClient.this.listener.onClosed();
 		}
 
 		@Override
--- a/wire/src/main/java/org/tallycart/wire/WireListener.java
+++ b/wire/src/main/java/org/tallycart/wire/WireListener.java
@@ -22,4 +22,10 @@
 	default void onOpen() {
 	}
 
+	/**
+	 * Take note that the connection was closed; messages on their way may be lost.
+	 */
+	default void onClosed() {
+	}
+
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Envelope.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Envelope.java
@@ -80,6 +80,7 @@
     PIECE_ANSWERS(42),
     PIECE_WITHDRAWALS(43),
     PIECE_RELEASES(44),
+    FEED_UPDATE(45),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -118,6 +119,7 @@
         case 42: return PIECE_ANSWERS;
         case 43: return PIECE_WITHDRAWALS;
         case 44: return PIECE_RELEASES;
+        case 45: return FEED_UPDATE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -875,6 +877,37 @@
     return org.tallycart.wire.message.PieceReleases.getDefaultInstance();
   }
 
+  public static final int FEED_UPDATE_FIELD_NUMBER = 45;
+  /**
+   * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+   * @return Whether the feedUpdate field is set.
+   */
+  @java.lang.Override
+  public boolean hasFeedUpdate() {
+    return bodyCase_ == 45;
+  }
+  /**
+   * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+   * @return The feedUpdate.
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.FeedUpdate getFeedUpdate() {
+    if (bodyCase_ == 45) {
+       return (org.tallycart.wire.message.FeedUpdate) body_;
+    }
+    return org.tallycart.wire.message.FeedUpdate.getDefaultInstance();
+  }
+  /**
+   * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.FeedUpdateOrBuilder getFeedUpdateOrBuilder() {
+    if (bodyCase_ == 45) {
+       return (org.tallycart.wire.message.FeedUpdate) body_;
+    }
+    return org.tallycart.wire.message.FeedUpdate.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -967,6 +1000,9 @@
     if (bodyCase_ == 44) {
       output.writeMessage(44, (org.tallycart.wire.message.PieceReleases) body_);
     }
+    if (bodyCase_ == 45) {
+      output.writeMessage(45, (org.tallycart.wire.message.FeedUpdate) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1074,6 +1110,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(44, (org.tallycart.wire.message.PieceReleases) body_);
     }
+    if (bodyCase_ == 45) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(45, (org.tallycart.wire.message.FeedUpdate) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1194,6 +1234,10 @@
         if (!getPieceReleases()
             .equals(other.getPieceReleases())) return false;
         break;
+      case 45:
+        if (!getFeedUpdate()
+            .equals(other.getFeedUpdate())) return false;
+        break;
       case 0:
       default:
     }
@@ -1307,6 +1351,10 @@
         hash = (37 * hash) + PIECE_RELEASES_FIELD_NUMBER;
         hash = (53 * hash) + getPieceReleases().hashCode();
         break;
+      case 45:
+        hash = (37 * hash) + FEED_UPDATE_FIELD_NUMBER;
+        hash = (53 * hash) + getFeedUpdate().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1513,6 +1561,9 @@
       if (pieceReleasesBuilder_ != null) {
         pieceReleasesBuilder_.clear();
       }
+      if (feedUpdateBuilder_ != null) {
+        feedUpdateBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1653,6 +1704,10 @@
           pieceReleasesBuilder_ != null) {
         result.body_ = pieceReleasesBuilder_.build();
       }
+      if (bodyCase_ == 45 &&
+          feedUpdateBuilder_ != null) {
+        result.body_ = feedUpdateBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1769,6 +1824,10 @@
           mergePieceReleases(other.getPieceReleases());
           break;
         }
+        case FEED_UPDATE: {
+          mergeFeedUpdate(other.getFeedUpdate());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1969,6 +2028,13 @@
               bodyCase_ = 44;
               break;
             } // case 354
+            case 362: {
+              input.readMessage(
+                  internalGetFeedUpdateFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 45;
+              break;
+            } // case 362
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5165,6 +5231,146 @@
       return pieceReleasesBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.FeedUpdate, org.tallycart.wire.message.FeedUpdate.Builder, org.tallycart.wire.message.FeedUpdateOrBuilder> feedUpdateBuilder_;
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     * @return Whether the feedUpdate field is set.
+     */
+    @java.lang.Override
+    public boolean hasFeedUpdate() {
+      return bodyCase_ == 45;
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     * @return The feedUpdate.
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.FeedUpdate getFeedUpdate() {
+      if (feedUpdateBuilder_ == null) {
+        if (bodyCase_ == 45) {
+          return (org.tallycart.wire.message.FeedUpdate) body_;
+        }
+        return org.tallycart.wire.message.FeedUpdate.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 45) {
+          return feedUpdateBuilder_.getMessage();
+        }
+        return org.tallycart.wire.message.FeedUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    public Builder setFeedUpdate(org.tallycart.wire.message.FeedUpdate value) {
+      if (feedUpdateBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        feedUpdateBuilder_.setMessage(value);
+      }
+      bodyCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    public Builder setFeedUpdate(
+        org.tallycart.wire.message.FeedUpdate.Builder builderForValue) {
+      if (feedUpdateBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        feedUpdateBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    public Builder mergeFeedUpdate(org.tallycart.wire.message.FeedUpdate value) {
+      if (feedUpdateBuilder_ == null) {
+        if (bodyCase_ == 45 &&
+            body_ != org.tallycart.wire.message.FeedUpdate.getDefaultInstance()) {
+          body_ = org.tallycart.wire.message.FeedUpdate.newBuilder((org.tallycart.wire.message.FeedUpdate) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 45) {
+          feedUpdateBuilder_.mergeFrom(value);
+        } else {
+          feedUpdateBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 45;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    public Builder clearFeedUpdate() {
+      if (feedUpdateBuilder_ == null) {
+        if (bodyCase_ == 45) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 45) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        feedUpdateBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    public org.tallycart.wire.message.FeedUpdate.Builder getFeedUpdateBuilder() {
+      return internalGetFeedUpdateFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.FeedUpdateOrBuilder getFeedUpdateOrBuilder() {
+      if ((bodyCase_ == 45) && (feedUpdateBuilder_ != null)) {
+        return feedUpdateBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 45) {
+          return (org.tallycart.wire.message.FeedUpdate) body_;
+        }
+        return org.tallycart.wire.message.FeedUpdate.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.FeedUpdate, org.tallycart.wire.message.FeedUpdate.Builder, org.tallycart.wire.message.FeedUpdateOrBuilder> 
+        internalGetFeedUpdateFieldBuilder() {
+      if (feedUpdateBuilder_ == null) {
+        if (!(bodyCase_ == 45)) {
+          body_ = org.tallycart.wire.message.FeedUpdate.getDefaultInstance();
+        }
+        feedUpdateBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tallycart.wire.message.FeedUpdate, org.tallycart.wire.message.FeedUpdate.Builder, org.tallycart.wire.message.FeedUpdateOrBuilder>(
+                (org.tallycart.wire.message.FeedUpdate) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 45;
+      onChanged();
+      return feedUpdateBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.Envelope)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
@@ -369,5 +369,20 @@
    */
   org.tallycart.wire.message.PieceReleasesOrBuilder getPieceReleasesOrBuilder();
 
+  /**
+   * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+   * @return Whether the feedUpdate field is set.
+   */
+  boolean hasFeedUpdate();
+  /**
+   * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+   * @return The feedUpdate.
+   */
+  org.tallycart.wire.message.FeedUpdate getFeedUpdate();
+  /**
+   * <code>.tallycart.wire.FeedUpdate feed_update = 45;</code>
+   */
+  org.tallycart.wire.message.FeedUpdateOrBuilder getFeedUpdateOrBuilder();
+
   org.tallycart.wire.message.Envelope.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/NodeBeat.java
+++ b/wire/src/main/java/org/tallycart/wire/message/NodeBeat.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A serving process tells the others that it lives, and whom it hears.
+ * Asks a VM whether it lives, and answers that.
  * </pre>
  *
  * Protobuf type {@code tallycart.wire.NodeBeat}
@@ -32,8 +32,7 @@
     super(builder);
   }
   private NodeBeat() {
-    address_ = "";
-    peers_ = java.util.Collections.emptyList();
+    known_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -54,43 +53,19 @@
             org.tallycart.wire.message.NodeBeat.class, org.tallycart.wire.message.NodeBeat.Builder.class);
   }
 
-  public static final int ADDRESS_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object address_ = "";
-  /**
-   * <code>string address = 1;</code>
-   * @return The address.
-   */
-  @java.lang.Override
-  public java.lang.String getAddress() {
-    java.lang.Object ref = address_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      address_ = s;
-      return s;
-    }
-  }
+  public static final int ANSWER_FIELD_NUMBER = 1;
+  private boolean answer_ = false;
   /**
-   * <code>string address = 1;</code>
-   * @return The bytes for address.
+   * <pre>
+   * Whether this answers a beat.
+   * </pre>
+   *
+   * <code>bool answer = 1;</code>
+   * @return The answer.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getAddressBytes() {
-    java.lang.Object ref = address_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      address_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
+  public boolean getAnswer() {
+    return answer_;
   }
 
   public static final int DRAINING_FIELD_NUMBER = 2;
@@ -104,45 +79,86 @@
     return draining_;
   }
 
-  public static final int PEERS_FIELD_NUMBER = 3;
+  public static final int SUBSCRIBES_FIELD_NUMBER = 3;
+  private boolean subscribes_ = false;
+  /**
+   * <pre>
+   * In a question: whether the asked VM is to pass changes on, and what the sender knows.
+   * </pre>
+   *
+   * <code>bool subscribes = 3;</code>
+   * @return The subscribes.
+   */
+  @java.lang.Override
+  public boolean getSubscribes() {
+    return subscribes_;
+  }
+
+  public static final int KNOWN_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private java.util.List<org.tallycart.wire.message.PeerBrief> peers_;
+  private java.util.List<org.tallycart.wire.message.FeedRevision> known_;
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<org.tallycart.wire.message.PeerBrief> getPeersList() {
-    return peers_;
+  public java.util.List<org.tallycart.wire.message.FeedRevision> getKnownList() {
+    return known_;
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.tallycart.wire.message.PeerBriefOrBuilder> 
-      getPeersOrBuilderList() {
-    return peers_;
+  public java.util.List<? extends org.tallycart.wire.message.FeedRevisionOrBuilder> 
+      getKnownOrBuilderList() {
+    return known_;
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
   @java.lang.Override
-  public int getPeersCount() {
-    return peers_.size();
+  public int getKnownCount() {
+    return known_.size();
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
   @java.lang.Override
-  public org.tallycart.wire.message.PeerBrief getPeers(int index) {
-    return peers_.get(index);
+  public org.tallycart.wire.message.FeedRevision getKnown(int index) {
+    return known_.get(index);
   }
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
   @java.lang.Override
-  public org.tallycart.wire.message.PeerBriefOrBuilder getPeersOrBuilder(
+  public org.tallycart.wire.message.FeedRevisionOrBuilder getKnownOrBuilder(
       int index) {
-    return peers_.get(index);
+    return known_.get(index);
+  }
+
+  public static final int FOLLOWS_STORE_FIELD_NUMBER = 5;
+  private boolean followsStore_ = false;
+  /**
+   * <pre>
+   * In an answer: whether the sender follows the store itself, and how long ago the store answered it.
+   * </pre>
+   *
+   * <code>bool follows_store = 5;</code>
+   * @return The followsStore.
+   */
+  @java.lang.Override
+  public boolean getFollowsStore() {
+    return followsStore_;
+  }
+
+  public static final int STORE_AGE_MS_FIELD_NUMBER = 6;
+  private int storeAgeMs_ = 0;
+  /**
+   * <code>uint32 store_age_ms = 6;</code>
+   * @return The storeAgeMs.
+   */
+  @java.lang.Override
+  public int getStoreAgeMs() {
+    return storeAgeMs_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -159,35 +175,57 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, address_);
+    if (answer_ != false) {
+      output.writeBool(1, answer_);
     }
     if (draining_ != false) {
       output.writeBool(2, draining_);
     }
-    for (int i = 0; i < peers_.size(); i++) {
-      output.writeMessage(3, peers_.get(i));
+    if (subscribes_ != false) {
+      output.writeBool(3, subscribes_);
+    }
+    for (int i = 0; i < known_.size(); i++) {
+      output.writeMessage(4, known_.get(i));
+    }
+    if (followsStore_ != false) {
+      output.writeBool(5, followsStore_);
+    }
+    if (storeAgeMs_ != 0) {
+      output.writeUInt32(6, storeAgeMs_);
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, address_);
+    if (answer_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(1, answer_);
     }
     if (draining_ != false) {
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(2, draining_);
     }
+    if (subscribes_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, subscribes_);
+    }
 
         {
-          final int count = peers_.size();
+          final int count = known_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(peers_.get(i));
+              .computeMessageSizeNoTag(known_.get(i));
           }
           size += 1 * count;
         }
+    if (followsStore_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, followsStore_);
+    }
+    if (storeAgeMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, storeAgeMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -212,12 +250,18 @@
     }
     org.tallycart.wire.message.NodeBeat other = (org.tallycart.wire.message.NodeBeat) obj;
 
-    if (!getAddress()
-        .equals(other.getAddress())) return false;
+    if (getAnswer()
+        != other.getAnswer()) return false;
     if (getDraining()
         != other.getDraining()) return false;
-    if (!getPeersList()
-        .equals(other.getPeersList())) return false;
+    if (getSubscribes()
+        != other.getSubscribes()) return false;
+    if (!getKnownList()
+        .equals(other.getKnownList())) return false;
+    if (getFollowsStore()
+        != other.getFollowsStore()) return false;
+    if (getStoreAgeMs()
+        != other.getStoreAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -229,15 +273,24 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
-    hash = (53 * hash) + getAddress().hashCode();
+    hash = (37 * hash) + ANSWER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAnswer());
     hash = (37 * hash) + DRAINING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDraining());
-    if (getPeersCount() > 0) {
-      hash = (37 * hash) + PEERS_FIELD_NUMBER;
-      hash = (53 * hash) + getPeersList().hashCode();
+    hash = (37 * hash) + SUBSCRIBES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSubscribes());
+    if (getKnownCount() > 0) {
+      hash = (37 * hash) + KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + getKnownList().hashCode();
     }
+    hash = (37 * hash) + FOLLOWS_STORE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFollowsStore());
+    hash = (37 * hash) + STORE_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getStoreAgeMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -337,7 +390,7 @@
   }
   /**
    * <pre>
-   * A serving process tells the others that it lives, and whom it hears.
+   * Asks a VM whether it lives, and answers that.
    * </pre>
    *
    * Protobuf type {@code tallycart.wire.NodeBeat}
@@ -373,15 +426,18 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      address_ = "";
+      answer_ = false;
       draining_ = false;
-      if (peersBuilder_ == null) {
-        peers_ = java.util.Collections.emptyList();
+      subscribes_ = false;
+      if (knownBuilder_ == null) {
+        known_ = java.util.Collections.emptyList();
       } else {
-        peers_ = null;
-        peersBuilder_.clear();
+        known_ = null;
+        knownBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000008);
+      followsStore_ = false;
+      storeAgeMs_ = 0;
       return this;
     }
 
@@ -415,25 +471,34 @@
     }
 
     private void buildPartialRepeatedFields(org.tallycart.wire.message.NodeBeat result) {
-      if (peersBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
-          peers_ = java.util.Collections.unmodifiableList(peers_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+      if (knownBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          known_ = java.util.Collections.unmodifiableList(known_);
+          bitField0_ = (bitField0_ & ~0x00000008);
         }
-        result.peers_ = peers_;
+        result.known_ = known_;
       } else {
-        result.peers_ = peersBuilder_.build();
+        result.known_ = knownBuilder_.build();
       }
     }
 
     private void buildPartial0(org.tallycart.wire.message.NodeBeat result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.address_ = address_;
+        result.answer_ = answer_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.draining_ = draining_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.subscribes_ = subscribes_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.followsStore_ = followsStore_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.storeAgeMs_ = storeAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -448,40 +513,47 @@
 
     public Builder mergeFrom(org.tallycart.wire.message.NodeBeat other) {
       if (other == org.tallycart.wire.message.NodeBeat.getDefaultInstance()) return this;
-      if (!other.getAddress().isEmpty()) {
-        address_ = other.address_;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      if (other.getAnswer() != false) {
+        setAnswer(other.getAnswer());
       }
       if (other.getDraining() != false) {
         setDraining(other.getDraining());
       }
-      if (peersBuilder_ == null) {
-        if (!other.peers_.isEmpty()) {
-          if (peers_.isEmpty()) {
-            peers_ = other.peers_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+      if (other.getSubscribes() != false) {
+        setSubscribes(other.getSubscribes());
+      }
+      if (knownBuilder_ == null) {
+        if (!other.known_.isEmpty()) {
+          if (known_.isEmpty()) {
+            known_ = other.known_;
+            bitField0_ = (bitField0_ & ~0x00000008);
           } else {
-            ensurePeersIsMutable();
-            peers_.addAll(other.peers_);
+            ensureKnownIsMutable();
+            known_.addAll(other.known_);
           }
           onChanged();
         }
       } else {
-        if (!other.peers_.isEmpty()) {
-          if (peersBuilder_.isEmpty()) {
-            peersBuilder_.dispose();
-            peersBuilder_ = null;
-            peers_ = other.peers_;
-            bitField0_ = (bitField0_ & ~0x00000004);
-            peersBuilder_ = 
+        if (!other.known_.isEmpty()) {
+          if (knownBuilder_.isEmpty()) {
+            knownBuilder_.dispose();
+            knownBuilder_ = null;
+            known_ = other.known_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            knownBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetPeersFieldBuilder() : null;
+                 internalGetKnownFieldBuilder() : null;
           } else {
-            peersBuilder_.addAllMessages(other.peers_);
+            knownBuilder_.addAllMessages(other.known_);
           }
         }
       }
+      if (other.getFollowsStore() != false) {
+        setFollowsStore(other.getFollowsStore());
+      }
+      if (other.getStoreAgeMs() != 0) {
+        setStoreAgeMs(other.getStoreAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -506,29 +578,44 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              address_ = input.readStringRequireUtf8();
+            case 8: {
+              answer_ = input.readBool();
               bitField0_ |= 0x00000001;
               break;
-            } // case 10
+            } // case 8
             case 16: {
               draining_ = input.readBool();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
-            case 26: {
-              org.tallycart.wire.message.PeerBrief m =
+            case 24: {
+              subscribes_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              org.tallycart.wire.message.FeedRevision m =
                   input.readMessage(
-                      org.tallycart.wire.message.PeerBrief.parser(),
+                      org.tallycart.wire.message.FeedRevision.parser(),
                       extensionRegistry);
-              if (peersBuilder_ == null) {
-                ensurePeersIsMutable();
-                peers_.add(m);
+              if (knownBuilder_ == null) {
+                ensureKnownIsMutable();
+                known_.add(m);
               } else {
-                peersBuilder_.addMessage(m);
+                knownBuilder_.addMessage(m);
               }
               break;
-            } // case 26
+            } // case 34
+            case 40: {
+              followsStore_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              storeAgeMs_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -546,74 +633,46 @@
     }
     private int bitField0_;
 
-    private java.lang.Object address_ = "";
+    private boolean answer_ ;
     /**
-     * <code>string address = 1;</code>
-     * @return The address.
+     * <pre>
+     * Whether this answers a beat.
+     * </pre>
+     *
+     * <code>bool answer = 1;</code>
+     * @return The answer.
      */
-    public java.lang.String getAddress() {
-      java.lang.Object ref = address_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        address_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string address = 1;</code>
-     * @return The bytes for address.
-     */
-    public com.google.protobuf.ByteString
-        getAddressBytes() {
-      java.lang.Object ref = address_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        address_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    @java.lang.Override
+    public boolean getAnswer() {
+      return answer_;
     }
     /**
-     * <code>string address = 1;</code>
-     * @param value The address to set.
+     * <pre>
+     * Whether this answers a beat.
+     * </pre>
+     *
+     * <code>bool answer = 1;</code>
+     * @param value The answer to set.
      * @return This builder for chaining.
      */
-    public Builder setAddress(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      address_ = value;
+    public Builder setAnswer(boolean value) {
+
+      answer_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string address = 1;</code>
+     * <pre>
+     * Whether this answers a beat.
+     * </pre>
+     *
+     * <code>bool answer = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearAddress() {
-      address_ = getDefaultInstance().getAddress();
+    public Builder clearAnswer() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string address = 1;</code>
-     * @param value The bytes for address to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAddressBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      address_ = value;
-      bitField0_ |= 0x00000001;
+      answer_ = false;
       onChanged();
       return this;
     }
@@ -650,238 +709,358 @@
       return this;
     }
 
-    private java.util.List<org.tallycart.wire.message.PeerBrief> peers_ =
+    private boolean subscribes_ ;
+    /**
+     * <pre>
+     * In a question: whether the asked VM is to pass changes on, and what the sender knows.
+     * </pre>
+     *
+     * <code>bool subscribes = 3;</code>
+     * @return The subscribes.
+     */
+    @java.lang.Override
+    public boolean getSubscribes() {
+      return subscribes_;
+    }
+    /**
+     * <pre>
+     * In a question: whether the asked VM is to pass changes on, and what the sender knows.
+     * </pre>
+     *
+     * <code>bool subscribes = 3;</code>
+     * @param value The subscribes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSubscribes(boolean value) {
+
+      subscribes_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In a question: whether the asked VM is to pass changes on, and what the sender knows.
+     * </pre>
+     *
+     * <code>bool subscribes = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSubscribes() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      subscribes_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.tallycart.wire.message.FeedRevision> known_ =
       java.util.Collections.emptyList();
-    private void ensurePeersIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
-        peers_ = new java.util.ArrayList<org.tallycart.wire.message.PeerBrief>(peers_);
-        bitField0_ |= 0x00000004;
+    private void ensureKnownIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        known_ = new java.util.ArrayList<org.tallycart.wire.message.FeedRevision>(known_);
+        bitField0_ |= 0x00000008;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.tallycart.wire.message.PeerBrief, org.tallycart.wire.message.PeerBrief.Builder, org.tallycart.wire.message.PeerBriefOrBuilder> peersBuilder_;
+        org.tallycart.wire.message.FeedRevision, org.tallycart.wire.message.FeedRevision.Builder, org.tallycart.wire.message.FeedRevisionOrBuilder> knownBuilder_;
 
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public java.util.List<org.tallycart.wire.message.PeerBrief> getPeersList() {
-      if (peersBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(peers_);
+    public java.util.List<org.tallycart.wire.message.FeedRevision> getKnownList() {
+      if (knownBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(known_);
       } else {
-        return peersBuilder_.getMessageList();
+        return knownBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public int getPeersCount() {
-      if (peersBuilder_ == null) {
-        return peers_.size();
+    public int getKnownCount() {
+      if (knownBuilder_ == null) {
+        return known_.size();
       } else {
-        return peersBuilder_.getCount();
+        return knownBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public org.tallycart.wire.message.PeerBrief getPeers(int index) {
-      if (peersBuilder_ == null) {
-        return peers_.get(index);
+    public org.tallycart.wire.message.FeedRevision getKnown(int index) {
+      if (knownBuilder_ == null) {
+        return known_.get(index);
       } else {
-        return peersBuilder_.getMessage(index);
+        return knownBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder setPeers(
-        int index, org.tallycart.wire.message.PeerBrief value) {
-      if (peersBuilder_ == null) {
+    public Builder setKnown(
+        int index, org.tallycart.wire.message.FeedRevision value) {
+      if (knownBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePeersIsMutable();
-        peers_.set(index, value);
+        ensureKnownIsMutable();
+        known_.set(index, value);
         onChanged();
       } else {
-        peersBuilder_.setMessage(index, value);
+        knownBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder setPeers(
-        int index, org.tallycart.wire.message.PeerBrief.Builder builderForValue) {
-      if (peersBuilder_ == null) {
-        ensurePeersIsMutable();
-        peers_.set(index, builderForValue.build());
+    public Builder setKnown(
+        int index, org.tallycart.wire.message.FeedRevision.Builder builderForValue) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.set(index, builderForValue.build());
         onChanged();
       } else {
-        peersBuilder_.setMessage(index, builderForValue.build());
+        knownBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder addPeers(org.tallycart.wire.message.PeerBrief value) {
-      if (peersBuilder_ == null) {
+    public Builder addKnown(org.tallycart.wire.message.FeedRevision value) {
+      if (knownBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePeersIsMutable();
-        peers_.add(value);
+        ensureKnownIsMutable();
+        known_.add(value);
         onChanged();
       } else {
-        peersBuilder_.addMessage(value);
+        knownBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder addPeers(
-        int index, org.tallycart.wire.message.PeerBrief value) {
-      if (peersBuilder_ == null) {
+    public Builder addKnown(
+        int index, org.tallycart.wire.message.FeedRevision value) {
+      if (knownBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensurePeersIsMutable();
-        peers_.add(index, value);
+        ensureKnownIsMutable();
+        known_.add(index, value);
         onChanged();
       } else {
-        peersBuilder_.addMessage(index, value);
+        knownBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder addPeers(
-        org.tallycart.wire.message.PeerBrief.Builder builderForValue) {
-      if (peersBuilder_ == null) {
-        ensurePeersIsMutable();
-        peers_.add(builderForValue.build());
+    public Builder addKnown(
+        org.tallycart.wire.message.FeedRevision.Builder builderForValue) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.add(builderForValue.build());
         onChanged();
       } else {
-        peersBuilder_.addMessage(builderForValue.build());
+        knownBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder addPeers(
-        int index, org.tallycart.wire.message.PeerBrief.Builder builderForValue) {
-      if (peersBuilder_ == null) {
-        ensurePeersIsMutable();
-        peers_.add(index, builderForValue.build());
+    public Builder addKnown(
+        int index, org.tallycart.wire.message.FeedRevision.Builder builderForValue) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.add(index, builderForValue.build());
         onChanged();
       } else {
-        peersBuilder_.addMessage(index, builderForValue.build());
+        knownBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder addAllPeers(
-        java.lang.Iterable<? extends org.tallycart.wire.message.PeerBrief> values) {
-      if (peersBuilder_ == null) {
-        ensurePeersIsMutable();
+    public Builder addAllKnown(
+        java.lang.Iterable<? extends org.tallycart.wire.message.FeedRevision> values) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, peers_);
+            values, known_);
         onChanged();
       } else {
-        peersBuilder_.addAllMessages(values);
+        knownBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder clearPeers() {
-      if (peersBuilder_ == null) {
-        peers_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+    public Builder clearKnown() {
+      if (knownBuilder_ == null) {
+        known_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
-        peersBuilder_.clear();
+        knownBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public Builder removePeers(int index) {
-      if (peersBuilder_ == null) {
-        ensurePeersIsMutable();
-        peers_.remove(index);
+    public Builder removeKnown(int index) {
+      if (knownBuilder_ == null) {
+        ensureKnownIsMutable();
+        known_.remove(index);
         onChanged();
       } else {
-        peersBuilder_.remove(index);
+        knownBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public org.tallycart.wire.message.PeerBrief.Builder getPeersBuilder(
+    public org.tallycart.wire.message.FeedRevision.Builder getKnownBuilder(
         int index) {
-      return internalGetPeersFieldBuilder().getBuilder(index);
+      return internalGetKnownFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public org.tallycart.wire.message.PeerBriefOrBuilder getPeersOrBuilder(
+    public org.tallycart.wire.message.FeedRevisionOrBuilder getKnownOrBuilder(
         int index) {
-      if (peersBuilder_ == null) {
-        return peers_.get(index);  } else {
-        return peersBuilder_.getMessageOrBuilder(index);
+      if (knownBuilder_ == null) {
+        return known_.get(index);  } else {
+        return knownBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public java.util.List<? extends org.tallycart.wire.message.PeerBriefOrBuilder> 
-         getPeersOrBuilderList() {
-      if (peersBuilder_ != null) {
-        return peersBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.tallycart.wire.message.FeedRevisionOrBuilder> 
+         getKnownOrBuilderList() {
+      if (knownBuilder_ != null) {
+        return knownBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(peers_);
+        return java.util.Collections.unmodifiableList(known_);
       }
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public org.tallycart.wire.message.PeerBrief.Builder addPeersBuilder() {
-      return internalGetPeersFieldBuilder().addBuilder(
-          org.tallycart.wire.message.PeerBrief.getDefaultInstance());
+    public org.tallycart.wire.message.FeedRevision.Builder addKnownBuilder() {
+      return internalGetKnownFieldBuilder().addBuilder(
+          org.tallycart.wire.message.FeedRevision.getDefaultInstance());
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public org.tallycart.wire.message.PeerBrief.Builder addPeersBuilder(
+    public org.tallycart.wire.message.FeedRevision.Builder addKnownBuilder(
         int index) {
-      return internalGetPeersFieldBuilder().addBuilder(
-          index, org.tallycart.wire.message.PeerBrief.getDefaultInstance());
+      return internalGetKnownFieldBuilder().addBuilder(
+          index, org.tallycart.wire.message.FeedRevision.getDefaultInstance());
     }
     /**
-     * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+     * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
      */
-    public java.util.List<org.tallycart.wire.message.PeerBrief.Builder> 
-         getPeersBuilderList() {
-      return internalGetPeersFieldBuilder().getBuilderList();
+    public java.util.List<org.tallycart.wire.message.FeedRevision.Builder> 
+         getKnownBuilderList() {
+      return internalGetKnownFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.tallycart.wire.message.PeerBrief, org.tallycart.wire.message.PeerBrief.Builder, org.tallycart.wire.message.PeerBriefOrBuilder> 
-        internalGetPeersFieldBuilder() {
-      if (peersBuilder_ == null) {
-        peersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.tallycart.wire.message.PeerBrief, org.tallycart.wire.message.PeerBrief.Builder, org.tallycart.wire.message.PeerBriefOrBuilder>(
-                peers_,
-                ((bitField0_ & 0x00000004) != 0),
+        org.tallycart.wire.message.FeedRevision, org.tallycart.wire.message.FeedRevision.Builder, org.tallycart.wire.message.FeedRevisionOrBuilder> 
+        internalGetKnownFieldBuilder() {
+      if (knownBuilder_ == null) {
+        knownBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.tallycart.wire.message.FeedRevision, org.tallycart.wire.message.FeedRevision.Builder, org.tallycart.wire.message.FeedRevisionOrBuilder>(
+                known_,
+                ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
-        peers_ = null;
+        known_ = null;
       }
-      return peersBuilder_;
+      return knownBuilder_;
+    }
+
+    private boolean followsStore_ ;
+    /**
+     * <pre>
+     * In an answer: whether the sender follows the store itself, and how long ago the store answered it.
+     * </pre>
+     *
+     * <code>bool follows_store = 5;</code>
+     * @return The followsStore.
+     */
+    @java.lang.Override
+    public boolean getFollowsStore() {
+      return followsStore_;
+    }
+    /**
+     * <pre>
+     * In an answer: whether the sender follows the store itself, and how long ago the store answered it.
+     * </pre>
+     *
+     * <code>bool follows_store = 5;</code>
+     * @param value The followsStore to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFollowsStore(boolean value) {
+
+      followsStore_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In an answer: whether the sender follows the store itself, and how long ago the store answered it.
+     * </pre>
+     *
+     * <code>bool follows_store = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFollowsStore() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      followsStore_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int storeAgeMs_ ;
+    /**
+     * <code>uint32 store_age_ms = 6;</code>
+     * @return The storeAgeMs.
+     */
+    @java.lang.Override
+    public int getStoreAgeMs() {
+      return storeAgeMs_;
+    }
+    /**
+     * <code>uint32 store_age_ms = 6;</code>
+     * @param value The storeAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreAgeMs(int value) {
+
+      storeAgeMs_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 store_age_ms = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      storeAgeMs_ = 0;
+      onChanged();
+      return this;
     }
 
     // @@protoc_insertion_point(builder_scope:tallycart.wire.NodeBeat)
--- a/wire/src/main/java/org/tallycart/wire/message/NodeBeatOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/NodeBeatOrBuilder.java
@@ -11,16 +11,14 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string address = 1;</code>
-   * @return The address.
+   * <pre>
+   * Whether this answers a beat.
+   * </pre>
+   *
+   * <code>bool answer = 1;</code>
+   * @return The answer.
    */
-  java.lang.String getAddress();
-  /**
-   * <code>string address = 1;</code>
-   * @return The bytes for address.
-   */
-  com.google.protobuf.ByteString
-      getAddressBytes();
+  boolean getAnswer();
 
   /**
    * <code>bool draining = 2;</code>
@@ -29,26 +27,52 @@
   boolean getDraining();
 
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <pre>
+   * In a question: whether the asked VM is to pass changes on, and what the sender knows.
+   * </pre>
+   *
+   * <code>bool subscribes = 3;</code>
+   * @return The subscribes.
+   */
+  boolean getSubscribes();
+
+  /**
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
-  java.util.List<org.tallycart.wire.message.PeerBrief> 
-      getPeersList();
+  java.util.List<org.tallycart.wire.message.FeedRevision> 
+      getKnownList();
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
-  org.tallycart.wire.message.PeerBrief getPeers(int index);
+  org.tallycart.wire.message.FeedRevision getKnown(int index);
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
-  int getPeersCount();
+  int getKnownCount();
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
-  java.util.List<? extends org.tallycart.wire.message.PeerBriefOrBuilder> 
-      getPeersOrBuilderList();
+  java.util.List<? extends org.tallycart.wire.message.FeedRevisionOrBuilder> 
+      getKnownOrBuilderList();
   /**
-   * <code>repeated .tallycart.wire.PeerBrief peers = 3;</code>
+   * <code>repeated .tallycart.wire.FeedRevision known = 4;</code>
    */
-  org.tallycart.wire.message.PeerBriefOrBuilder getPeersOrBuilder(
+  org.tallycart.wire.message.FeedRevisionOrBuilder getKnownOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * In an answer: whether the sender follows the store itself, and how long ago the store answered it.
+   * </pre>
+   *
+   * <code>bool follows_store = 5;</code>
+   * @return The followsStore.
+   */
+  boolean getFollowsStore();
+
+  /**
+   * <code>uint32 store_age_ms = 6;</code>
+   * @return The storeAgeMs.
+   */
+  int getStoreAgeMs();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -161,11 +161,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tallycart_wire_ShareAnswer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_FeedRevision_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_FeedRevision_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tallycart_wire_NodeBeat_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tallycart_wire_NodeBeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_FeedObject_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_FeedObject_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_FeedUpdate_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_FeedUpdate_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tallycart_wire_PieceAsk_descriptor;
   static final 
@@ -215,7 +230,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\016tallycart.wire\"\264\t\n\010Envelop" +
+      "\n\nwire.proto\022\016tallycart.wire\"\347\t\n\010Envelop" +
       "e\022\023\n\013correlation\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\r\n" +
       "\005clock\030\003 \001(\006\022\021\n\tsender_vm\030\004 \001(\t\022\032\n\022sende" +
       "r_incarnation\030\005 \001(\004\022.\n\theartbeat\030\n \001(\0132\031" +
@@ -245,61 +260,72 @@
       "llycart.wire.PieceAnswersH\000\022=\n\021piece_wit" +
       "hdrawals\030+ \001(\0132 .tallycart.wire.PieceWit" +
       "hdrawalsH\000\0227\n\016piece_releases\030, \001(\0132\035.tal" +
-      "lycart.wire.PieceReleasesH\000B\006\n\004body\"\'\n\003A" +
-      "ck\022\020\n\010accepted\030\001 \001(\010\022\016\n\006detail\030\002 \001(\t\"0\n\017" +
-      "RegisterVersion\022\014\n\004name\030\001 \001(\t\022\017\n\007version" +
-      "\030\002 \001(\004\"N\n\tPeerBrief\022\n\n\002vm\030\001 \001(\t\022\023\n\013incar" +
-      "nation\030\002 \001(\004\022\020\n\010draining\030\003 \001(\010\022\016\n\006age_ms" +
-      "\030\004 \001(\r\"\223\001\n\tHeartbeat\022\020\n\010draining\030\001 \001(\010\0222" +
-      "\n\tregisters\030\002 \003(\0132\037.tallycart.wire.Regis" +
-      "terVersion\022\026\n\016leaving_digest\030\003 \001(\006\022(\n\005pe" +
-      "ers\030\004 \003(\0132\031.tallycart.wire.PeerBrief\"<\n\013" +
-      "PullRequest\022-\n\004have\030\001 \003(\0132\037.tallycart.wi" +
-      "re.RegisterVersion\"=\n\rRegisterValue\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(" +
-      "\014\":\n\tPullReply\022-\n\006values\030\001 \003(\0132\035.tallyca" +
-      "rt.wire.RegisterValue\"\036\n\013BlobRequest\022\017\n\007" +
-      "digests\030\001 \003(\t\"%\n\004Blob\022\016\n\006digest\030\001 \001(\t\022\r\n" +
-      "\005value\030\002 \001(\014\"0\n\tBlobReply\022#\n\005blobs\030\001 \003(\013" +
-      "2\024.tallycart.wire.Blob\"\"\n\rLeavingNotice\022" +
-      "\021\n\tupstreams\030\001 \003(\t\"*\n\010Claimant\022\n\n\002vm\030\001 \001" +
-      "(\t\022\022\n\nattempt_id\030\002 \001(\t\"X\n\tClaimCall\022\013\n\003k" +
-      "ey\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tallycart.w" +
-      "ire.Claimant\022\022\n\nknown_term\030\003 \001(\004\"\351\001\n\013Cla" +
-      "imAnswer\0222\n\006status\030\001 \001(\0162\".tallycart.wir" +
-      "e.ClaimAnswer.Status\022\014\n\004term\030\002 \001(\004\022(\n\006ho" +
-      "lder\030\003 \001(\0132\030.tallycart.wire.Claimant\022\016\n\006" +
-      "result\030\004 \001(\014\"^\n\006Status\022\r\n\tNOT_OWNER\020\000\022\013\n" +
-      "\007GRANTED\020\001\022\010\n\004HELD\020\002\022\014\n\010FINISHED\020\003\022\023\n\017BE" +
-      "FORE_TAKEOVER\020\004\022\013\n\007EXPIRED\020\005\"V\n\013ClaimFin" +
-      "ish\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tal" +
-      "lycart.wire.Claimant\022\016\n\006result\030\003 \001(\014\"G\n\014" +
-      "ClaimRelease\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 " +
-      "\001(\0132\030.tallycart.wire.Claimant\"e\n\nClaimEn" +
-      "try\022\013\n\003key\030\001 \001(\t\022(\n\006holder\030\002 \001(\0132\030.tally" +
-      "cart.wire.Claimant\022\016\n\006result\030\003 \001(\014\022\020\n\010fi" +
-      "nished\030\004 \001(\010\"m\n\nSlotClaims\022\014\n\004slot\030\001 \001(\r" +
-      "\022\014\n\004term\030\002 \001(\004\022\027\n\017refuse_until_ms\030\003 \001(\022\022" +
-      "*\n\006claims\030\004 \003(\0132\032.tallycart.wire.ClaimEn" +
-      "try\"K\n\014HandoverCall\022)\n\005slots\030\001 \003(\0132\032.tal" +
-      "lycart.wire.SlotClaims\022\020\n\010sequence\030\002 \001(\004" +
-      "\"\013\n\tSubscribe\"\362\001\n\013StateUpdate\022\026\n\016config_" +
-      "version\030\001 \001(\004\022#\n\005parts\030\002 \003(\0132\024.tallycart" +
-      ".wire.Blob\022*\n\tpart_refs\030\003 \003(\0132\027.tallycar" +
-      "t.wire.PartRef\022\025\n\rslots_version\030\004 \001(\004\022\r\n" +
-      "\005slots\030\005 \001(\t\022\023\n\013vms_version\030\006 \001(\004\022\013\n\003vms" +
-      "\030\007 \001(\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nactive_vms\030\t " +
-      "\001(\r\022\r\n\005ready\030\n \001(\010\"\'\n\007PartRef\022\014\n\004name\030\001 " +
-      "\001(\t\022\016\n\006digest\030\002 \001(\t\"o\n\013ShareDemand\022\021\n\two" +
-      "rkspace\030\001 \001(\t\022\031\n\021demand_per_second\030\002 \001(\001" +
-      "\022\030\n\020limit_per_second\030\003 \001(\001\022\030\n\020holds_per_" +
-      "second\030\004 \001(\001\";\n\013ShareReport\022,\n\007demands\030\001" +
-      " \003(\0132\033.tallycart.wire.ShareDemand\"8\n\nSha" +
-      "reGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_s" +
-      "econd\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003" +
-      "(\0132\032.tallycart.wire.ShareGrant\"W\n\010NodeBe" +
-      "at\022\017\n\007address\030\001 \001(\t\022\020\n\010draining\030\002 \001(\010\022(\n" +
-      "\005peers\030\003 \003(\0132\031.tallycart.wire.PeerBrief\"" +
+      "lycart.wire.PieceReleasesH\000\0221\n\013feed_upda" +
+      "te\030- \001(\0132\032.tallycart.wire.FeedUpdateH\000B\006" +
+      "\n\004body\"\'\n\003Ack\022\020\n\010accepted\030\001 \001(\010\022\016\n\006detai" +
+      "l\030\002 \001(\t\"0\n\017RegisterVersion\022\014\n\004name\030\001 \001(\t" +
+      "\022\017\n\007version\030\002 \001(\004\"N\n\tPeerBrief\022\n\n\002vm\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010draining\030\003 \001(" +
+      "\010\022\016\n\006age_ms\030\004 \001(\r\"\223\001\n\tHeartbeat\022\020\n\010drain" +
+      "ing\030\001 \001(\010\0222\n\tregisters\030\002 \003(\0132\037.tallycart" +
+      ".wire.RegisterVersion\022\026\n\016leaving_digest\030" +
+      "\003 \001(\006\022(\n\005peers\030\004 \003(\0132\031.tallycart.wire.Pe" +
+      "erBrief\"<\n\013PullRequest\022-\n\004have\030\001 \003(\0132\037.t" +
+      "allycart.wire.RegisterVersion\"=\n\rRegiste" +
+      "rValue\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n" +
+      "\005value\030\003 \001(\014\":\n\tPullReply\022-\n\006values\030\001 \003(" +
+      "\0132\035.tallycart.wire.RegisterValue\"\036\n\013Blob" +
+      "Request\022\017\n\007digests\030\001 \003(\t\"%\n\004Blob\022\016\n\006dige" +
+      "st\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\"0\n\tBlobReply\022#\n\005" +
+      "blobs\030\001 \003(\0132\024.tallycart.wire.Blob\"\"\n\rLea" +
+      "vingNotice\022\021\n\tupstreams\030\001 \003(\t\"*\n\010Claiman" +
+      "t\022\n\n\002vm\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\"X\n\tCla" +
+      "imCall\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030." +
+      "tallycart.wire.Claimant\022\022\n\nknown_term\030\003 " +
+      "\001(\004\"\351\001\n\013ClaimAnswer\0222\n\006status\030\001 \001(\0162\".ta" +
+      "llycart.wire.ClaimAnswer.Status\022\014\n\004term\030" +
+      "\002 \001(\004\022(\n\006holder\030\003 \001(\0132\030.tallycart.wire.C" +
+      "laimant\022\016\n\006result\030\004 \001(\014\"^\n\006Status\022\r\n\tNOT" +
+      "_OWNER\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\014\n\010FINIS" +
+      "HED\020\003\022\023\n\017BEFORE_TAKEOVER\020\004\022\013\n\007EXPIRED\020\005\"" +
+      "V\n\013ClaimFinish\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030" +
+      "\002 \001(\0132\030.tallycart.wire.Claimant\022\016\n\006resul" +
+      "t\030\003 \001(\014\"G\n\014ClaimRelease\022\013\n\003key\030\001 \001(\t\022*\n\010" +
+      "claimant\030\002 \001(\0132\030.tallycart.wire.Claimant" +
+      "\"e\n\nClaimEntry\022\013\n\003key\030\001 \001(\t\022(\n\006holder\030\002 " +
+      "\001(\0132\030.tallycart.wire.Claimant\022\016\n\006result\030" +
+      "\003 \001(\014\022\020\n\010finished\030\004 \001(\010\"m\n\nSlotClaims\022\014\n" +
+      "\004slot\030\001 \001(\r\022\014\n\004term\030\002 \001(\004\022\027\n\017refuse_unti" +
+      "l_ms\030\003 \001(\022\022*\n\006claims\030\004 \003(\0132\032.tallycart.w" +
+      "ire.ClaimEntry\"K\n\014HandoverCall\022)\n\005slots\030" +
+      "\001 \003(\0132\032.tallycart.wire.SlotClaims\022\020\n\010seq" +
+      "uence\030\002 \001(\004\"\013\n\tSubscribe\"\362\001\n\013StateUpdate" +
+      "\022\026\n\016config_version\030\001 \001(\004\022#\n\005parts\030\002 \003(\0132" +
+      "\024.tallycart.wire.Blob\022*\n\tpart_refs\030\003 \003(\013" +
+      "2\027.tallycart.wire.PartRef\022\025\n\rslots_versi" +
+      "on\030\004 \001(\004\022\r\n\005slots\030\005 \001(\t\022\023\n\013vms_version\030\006" +
+      " \001(\004\022\013\n\003vms\030\007 \001(\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nac" +
+      "tive_vms\030\t \001(\r\022\r\n\005ready\030\n \001(\010\"\'\n\007PartRef" +
+      "\022\014\n\004name\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\"o\n\013ShareD" +
+      "emand\022\021\n\tworkspace\030\001 \001(\t\022\031\n\021demand_per_s" +
+      "econd\030\002 \001(\001\022\030\n\020limit_per_second\030\003 \001(\001\022\030\n" +
+      "\020holds_per_second\030\004 \001(\001\";\n\013ShareReport\022," +
+      "\n\007demands\030\001 \003(\0132\033.tallycart.wire.ShareDe" +
+      "mand\"8\n\nShareGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
+      "\017rate_per_second\030\002 \001(\001\"9\n\013ShareAnswer\022*\n" +
+      "\006grants\030\001 \003(\0132\032.tallycart.wire.ShareGran" +
+      "t\"D\n\014FeedRevision\022\"\n\004feed\030\001 \001(\0162\024.tallyc" +
+      "art.wire.Feed\022\020\n\010revision\030\002 \001(\003\"\232\001\n\010Node" +
+      "Beat\022\016\n\006answer\030\001 \001(\010\022\020\n\010draining\030\002 \001(\010\022\022" +
+      "\n\nsubscribes\030\003 \001(\010\022+\n\005known\030\004 \003(\0132\034.tall" +
+      "ycart.wire.FeedRevision\022\025\n\rfollows_store" +
+      "\030\005 \001(\010\022\024\n\014store_age_ms\030\006 \001(\r\"K\n\nFeedObje" +
+      "ct\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\017\n\007co" +
+      "ntent\030\003 \001(\t\022\014\n\004gone\030\004 \001(\010\"\253\001\n\nFeedUpdate" +
+      "\022\"\n\004feed\030\001 \001(\0162\024.tallycart.wire.Feed\022\r\n\005" +
+      "whole\030\002 \001(\010\022\025\n\rfrom_revision\030\003 \001(\003\022\020\n\010re" +
+      "vision\030\004 \001(\003\022\024\n\014untrusted_ms\030\005 \001(\r\022+\n\007ob" +
+      "jects\030\006 \003(\0132\032.tallycart.wire.FeedObject\"" +
       "\202\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stag" +
       "e\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service\030\004 \001(\t\022" +
       "\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016deadline" +
@@ -321,8 +347,9 @@
       "wire.PieceWithdrawal\"0\n\014PieceRelease\022\017\n\007" +
       "service\030\001 \001(\t\022\017\n\007handles\030\002 \003(\t\"?\n\rPieceR" +
       "eleases\022.\n\010releases\030\001 \003(\0132\034.tallycart.wi" +
-      "re.PieceReleaseB\036\n\032org.tallycart.wire.me" +
-      "ssageP\001b\006proto3"
+      "re.PieceRelease*1\n\004Feed\022\021\n\rCONFIGURATION" +
+      "\020\000\022\r\n\tUPSTREAMS\020\001\022\007\n\003VMS\020\002B\036\n\032org.tallyc" +
+      "art.wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -333,7 +360,7 @@
     internal_static_tallycart_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_Envelope_descriptor,
-        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "Body", });
+        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "FeedUpdate", "Body", });
     internal_static_tallycart_wire_Ack_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_tallycart_wire_Ack_fieldAccessorTable = new
@@ -490,56 +517,74 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_ShareAnswer_descriptor,
         new java.lang.String[] { "Grants", });
-    internal_static_tallycart_wire_NodeBeat_descriptor =
+    internal_static_tallycart_wire_FeedRevision_descriptor =
       getDescriptor().getMessageType(27);
+    internal_static_tallycart_wire_FeedRevision_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_FeedRevision_descriptor,
+        new java.lang.String[] { "Feed", "Revision", });
+    internal_static_tallycart_wire_NodeBeat_descriptor =
+      getDescriptor().getMessageType(28);
     internal_static_tallycart_wire_NodeBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_NodeBeat_descriptor,
-        new java.lang.String[] { "Address", "Draining", "Peers", });
+        new java.lang.String[] { "Answer", "Draining", "Subscribes", "Known", "FollowsStore", "StoreAgeMs", });
+    internal_static_tallycart_wire_FeedObject_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_tallycart_wire_FeedObject_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_FeedObject_descriptor,
+        new java.lang.String[] { "Name", "Revision", "Content", "Gone", });
+    internal_static_tallycart_wire_FeedUpdate_descriptor =
+      getDescriptor().getMessageType(30);
+    internal_static_tallycart_wire_FeedUpdate_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_FeedUpdate_descriptor,
+        new java.lang.String[] { "Feed", "Whole", "FromRevision", "Revision", "UntrustedMs", "Objects", });
     internal_static_tallycart_wire_PieceAsk_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(31);
     internal_static_tallycart_wire_PieceAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAsk_descriptor,
         new java.lang.String[] { "RequestId", "Stage", "Piece", "Service", "Key", "Inputs", "DeadlineInMs", "ObjectiveInMs", "Priority", "FailureDomain", "MovedBytes", "ResultBytes", "Together", });
     internal_static_tallycart_wire_PieceAsks_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(32);
     internal_static_tallycart_wire_PieceAsks_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAsks_descriptor,
         new java.lang.String[] { "Asks", });
     internal_static_tallycart_wire_PieceAnswer_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(33);
     internal_static_tallycart_wire_PieceAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAnswer_descriptor,
         new java.lang.String[] { "RequestId", "Stage", "Piece", "Status", "Handle", });
     internal_static_tallycart_wire_PieceAnswers_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(34);
     internal_static_tallycart_wire_PieceAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAnswers_descriptor,
         new java.lang.String[] { "Answers", });
     internal_static_tallycart_wire_PieceWithdrawal_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(35);
     internal_static_tallycart_wire_PieceWithdrawal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceWithdrawal_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Stage", "Piece", });
     internal_static_tallycart_wire_PieceWithdrawals_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(36);
     internal_static_tallycart_wire_PieceWithdrawals_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceWithdrawals_descriptor,
         new java.lang.String[] { "Withdrawals", });
     internal_static_tallycart_wire_PieceRelease_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(37);
     internal_static_tallycart_wire_PieceRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceRelease_descriptor,
         new java.lang.String[] { "Service", "Handles", });
     internal_static_tallycart_wire_PieceReleases_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(38);
     internal_static_tallycart_wire_PieceReleases_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceReleases_descriptor,
