--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -191,6 +191,7 @@
 		this.metrics.gauge("vms.live", this.mesh::liveVms);
 		this.metrics.gauge("pieces.outstanding", this.pieces::outstanding);
 		this.metrics.gauge("store.missed", () -> this.store.missed() ? 1 : 0);
+		this.metrics.gauge("upstreams", () -> this.directory.ids().size());
 		this.metrics.gauge("store.following", () -> this.store.following() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
--- a/node/src/main/java/org/tallycart/node/store/FollowedKind.java
+++ b/node/src/main/java/org/tallycart/node/store/FollowedKind.java
@@ -5,12 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
-import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.platform.store.FeedListener;
 import org.tallycart.platform.store.ObjectChange;
-import org.tallycart.platform.store.ObjectClient;
 import org.tallycart.platform.store.ObjectFeed;
 import org.tallycart.platform.store.StoreError;
 import org.tallycart.platform.store.StoredObject;
@@ -48,10 +47,10 @@
 
 	private boolean lost;
 
-	FollowedKind(Feed feed, String kind, ObjectClient client, Loop loop, NodeLog log, ObjectSink sink,
-			Runnable onContact, Consumer<FeedUpdate> publisher) {
+	FollowedKind(Feed feed, ObjectSink sink, Function<FeedListener, ObjectFeed> source, NodeLog log, Runnable onContact,
+			Consumer<FeedUpdate> publisher) {
 		this.feed = feed;
-		this.source = new ObjectFeed(client, loop.executor(), kind, this);
+		this.source = source.apply(this);
 		this.sink = sink;
 		this.onContact = onContact;
 		this.publisher = publisher;
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
 
 import org.tallycart.core.fleet.Duty;
 import org.tallycart.core.fleet.VmRecord;
@@ -15,7 +17,9 @@
 import org.tallycart.node.peer.BeatListener;
 import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.platform.store.ConfigDecoder;
+import org.tallycart.platform.store.FeedListener;
 import org.tallycart.platform.store.ObjectClient;
+import org.tallycart.platform.store.ObjectFeed;
 import org.tallycart.platform.store.UpstreamDecoder;
 import org.tallycart.platform.store.VmRecords;
 import org.tallycart.runtime.event.EventCode;
@@ -38,6 +42,21 @@
  */
 public final class StoreLink implements BeatListener {
 
+	/**
+	 * Time between two readings of the other VMs' records, in milliseconds: a new VM is
+	 * known to all within about two seconds.
+	 */
+	private static final long RECORDS_MS = 1_000;
+
+	/**
+	 * How long after its record is written a VM waits for a VM that it can follow, in
+	 * milliseconds: a record is read and a question answered by then.
+	 */
+	private static final long FIRST_ANSWERS_MS = 300;
+
+	/** When a VM goes to the store although it could not write its record. */
+	private static final long START_MS = 1_000;
+
 	/** Time between two looks at whom to follow, in milliseconds. */
 	private static final long REVIEW_MS = 100;
 
@@ -71,7 +90,11 @@
 
 	private final VmRecords records;
 
-	private final RecordSink recordSink;
+	private final FollowedKind config;
+
+	private final FollowedKind upstreams;
+
+	private final FollowedKind vms;
 
 	private final List<FollowedKind> kinds;
 
@@ -81,7 +104,9 @@
 
 	private Optional<PeerMesh> mesh = Optional.empty();
 
-	private boolean following;
+	private String source = "";
+
+	private long decideFromMs;
 
 	private boolean missed;
 
@@ -108,15 +133,22 @@
 		this.loop = loop;
 		this.log = log;
 		this.records = new VmRecords(client);
-		this.recordSink = new RecordSink(log, (all) -> this.mesh.ifPresent((peers) -> peers.know(all)));
-		this.kinds = List.of(
-				kind(Feed.CONFIGURATION, ConfigDecoder.KIND, client, new ConfigSink(config, log, onChange)),
-				kind(Feed.UPSTREAMS, UpstreamDecoder.KIND, client, new UpstreamSink(directory, loop, log, onChange)),
-				kind(Feed.VMS, VmRecords.KIND, client, this.recordSink));
+		this.config = kind(Feed.CONFIGURATION, new ConfigSink(config, log, onChange),
+				(listener) -> watch(client, ConfigDecoder.KIND, listener));
+		this.upstreams = kind(Feed.UPSTREAMS, new UpstreamSink(directory, loop, log, onChange),
+				(listener) -> watch(client, UpstreamDecoder.KIND, listener));
+		this.vms = kind(Feed.VMS, new RecordSink(log, (all) -> this.mesh.ifPresent((peers) -> peers.know(all))),
+				(listener) -> new ObjectFeed(client, loop.executor(), VmRecords.KIND, OptionalLong.of(RECORDS_MS),
+						listener));
+		this.kinds = List.of(this.config, this.upstreams, this.vms);
+	}
+
+	private ObjectFeed watch(ObjectClient client, String kind, FeedListener listener) {
+		return new ObjectFeed(client, this.loop.executor(), kind, OptionalLong.empty(), listener);
 	}
 
-	private FollowedKind kind(Feed feed, String kind, ObjectClient client, ObjectSink sink) {
-		return new FollowedKind(feed, kind, client, this.loop, this.log, sink, this::onContact, this::publish);
+	private FollowedKind kind(Feed feed, ObjectSink sink, Function<FeedListener, ObjectFeed> source) {
+		return new FollowedKind(feed, sink, source, this.log, this::onContact, this::publish);
 	}
 
 	/**
@@ -134,44 +166,57 @@
 	 */
 	public void start(PeerMesh peers, Address address) {
 		this.mesh = Optional.of(peers);
-		follow("start");
+		this.decideFromMs = this.loop.nowMs() + START_MS;
 		publish(new VmRecord(this.settings.vm(), address, this.settings.failureDomain(), this.settings.capacity()));
 		this.loop.every(REVIEW_MS, this::review);
 	}
 
 	private void publish(VmRecord own) {
 		this.records.publish(own, (done) -> {
-			if (!done) {
+			if (done) {
+				this.vms.follow();
+				this.decideFromMs = Math.min(this.decideFromMs, this.loop.nowMs() + FIRST_ANSWERS_MS);
+			}
+			else {
 				this.loop.after(PUBLISH_RETRY_MS, () -> publish(own));
 			}
 		});
 	}
 
-	private void follow(String reason) {
-		this.following = true;
-		this.log.event(EventCode.STORE_FOLLOWED, "by", "this VM", "reason", reason);
-		this.kinds.forEach(FollowedKind::follow);
-	}
-
 	private void review() {
 		long now = this.loop.nowMs();
 		String holder = this.mesh.map((peers) -> peers.holder(this.duty)).orElse(this.settings.vm());
 		SourceHealth health = this.sources.computeIfAbsent(holder, (key) -> new SourceHealth());
-		if (!this.following && !health.healthy(now)) {
-			follow(holder + " cannot be followed");
+		long settleMs = following() ? SETTLE_MS : 0;
+		if (!health.healthy(now)) {
+			if (!following() && now >= this.decideFromMs) {
+				follow(holder);
+			}
 		}
-		else if (this.following && health.healthyForMs(now) >= SETTLE_MS && allKnown()) {
-			this.following = false;
-			this.kinds.forEach(FollowedKind::stopFollowing);
-			this.log.event(EventCode.STORE_FOLLOWED, "by", holder, "reason", "it answers and the store answers it");
+		else if (!this.source.equals(holder) && health.healthyForMs(now) >= settleMs && serving()) {
+			followOther(holder);
 		}
-		if (this.following) {
+		if (following()) {
 			probeIfDue(now);
 		}
 	}
 
-	private boolean allKnown() {
-		return this.kinds.stream().allMatch(FollowedKind::known);
+	// A VM that serves already needs no lists of its own to be passed changes.
+	private boolean serving() {
+		return !following() || this.kinds.stream().allMatch(FollowedKind::known);
+	}
+
+	private void follow(String unfit) {
+		this.source = this.settings.vm();
+		this.log.event(EventCode.STORE_FOLLOWED, "by", this.source, "unfit", unfit);
+		this.kinds.forEach(FollowedKind::follow);
+	}
+
+	private void followOther(String holder) {
+		this.source = holder;
+		this.decideFromMs = 0;
+		this.log.event(EventCode.STORE_FOLLOWED, "by", holder);
+		this.kinds.forEach(FollowedKind::stopFollowing);
 	}
 
 	private void probeIfDue(long now) {
@@ -187,7 +232,7 @@
 		if (answered) {
 			this.contact = true;
 			this.contactMs = Math.max(this.contactMs, sentMs);
-			if (this.missed && this.following) {
+			if (this.missed && following()) {
 				this.kinds.forEach(FollowedKind::follow);
 			}
 		}
@@ -206,8 +251,7 @@
 
 	@Override
 	public void onAsking(String vm, NodeBeat.Builder question) {
-		boolean followed = !this.following
-				&& this.mesh.map((peers) -> peers.holder(this.duty).equals(vm)).orElse(false);
+		boolean followed = !following() && this.mesh.map((peers) -> peers.holder(this.duty).equals(vm)).orElse(false);
 		if (followed) {
 			question.setSubscribes(true);
 			this.kinds.forEach((kind) -> question
@@ -218,7 +262,7 @@
 	@Override
 	public void onAsked(String vm, NodeBeat question, NodeBeat.Builder answer) {
 		long now = this.loop.nowMs();
-		answer.setFollowsStore(this.following && this.contact).setStoreAgeMs((int) (now - this.contactMs));
+		answer.setFollowsStore(following() && this.contact).setStoreAgeMs((int) (now - this.contactMs));
 		if (question.getSubscribes()) {
 			this.subscribers.onAsked(vm, now);
 			question.getKnownList().forEach((known) -> sendMissing(vm, known, now));
@@ -250,7 +294,7 @@
 	 * @return true if the store cannot be reached
 	 */
 	public boolean missed() {
-		return this.following && this.missed;
+		return following() && this.missed;
 	}
 
 	/**
@@ -258,7 +302,7 @@
 	 * @return false if another VM passes on what it reads
 	 */
 	public boolean following() {
-		return this.following;
+		return this.source.equals(this.settings.vm());
 	}
 
 }
--- a/node/src/test/java/org/tallycart/node/NodePathTests.java
+++ b/node/src/test/java/org/tallycart/node/NodePathTests.java
@@ -3,22 +3,11 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import org.tallycart.core.ini.Address;
-import org.tallycart.core.serving.NodeSettings;
-import org.tallycart.platform.standin.StoreStandin;
 import org.tallycart.platform.standin.UpstreamStandin;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -29,130 +18,11 @@
 /**
  * Tests for the whole path: callers, two VMs, a store and upstreams, on real sockets.
  */
-public class NodePathTests {
+public class NodePathTests extends AbstractNodeTests {
 
-	private static final int WAIT_MS = 15_000;
-
-	private static final int VMS = 2;
-
-	private static final String CONFIG = """
-			{"version":%d,
-			 "routes":[
-			  {"name":"plain","host":"h","path_prefix":"/plain/","kind":"idempotent","timeout_ms":3000,"slo_ms":200,
-			   "priority":0,"service":"plain","max_attempts":2},
-			  {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"slo_ms":200,
-			   "priority":0,"service":"plain","max_attempts":2},
-			  {"name":"open","host":"h","path_prefix":"/open/","kind":"idempotent","timeout_ms":3000,"slo_ms":200,
-			   "priority":0,"service":"plain","max_attempts":1,"public":true},
-			  {"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":9000,"slo_ms":3000,
-			   "priority":1,"service":"engine","max_attempts":2,"resumable":true,"gap_slo_ms":500,
-			   "stages":[{"service":"pool","after":[],"bytes":8000},{"service":"pool","after":[0],"bytes":6000}]},
-			  {"name":"fragile","host":"h","path_prefix":"/fragile/","kind":"streaming","timeout_ms":9000,"slo_ms":3000,
-			   "priority":1,"service":"engine","max_attempts":2,"resumable":false,"gap_slo_ms":500}],
-			 "services":[{"name":"plain"},{"name":"engine","engine":{"slots":8}},
-			  {"name":"pool","pieces":{"slots":1,"queue":2,"batch":8,"call_ms":10.0,"item_ms":1.0,"headroom_mb":1.0,"handle_s":4.0}}],
-			 "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,
-			  "idle_timeout_ms":15000},
-			 "tenants":[{"name":"w","api_keys":["key"]}]}
-			""";
-
-	private static final String KEY = "Api-Key: key\r\n";
-
-	private static final String GENERATION = KEY + "X-Tallycart-Model: m\r\nX-Tallycart-Token-Counts: 900,40\r\n"
-			+ "X-Tallycart-Prompt-Prefix: aa:500,bb:200\r\n";
-
-	private EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-
-	private StoreStandin store = StoreStandin.start(this.group);
-
-	private final Map<String, UpstreamStandin> upstreams = new HashMap<>();
-
-	private final List<Node> nodes = new ArrayList<>();
-
-	@BeforeMethod
-	void begin() {
-		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-		this.store = StoreStandin.start(this.group);
-		this.upstreams.clear();
-		this.nodes.clear();
-		for (String service : List.of("plain", "engine", "pool")) {
-			for (int i = 0; i < 2; i++) {
-				addUpstream(service, "i-" + service + i);
-			}
-		}
-		this.store.put("config", "main", String.format(CONFIG, 7));
-		for (int i = 0; i < VMS; i++) {
-			this.nodes.add(Node.start(settings("vm-" + i), 0).get());
-		}
-		this.nodes.forEach((node) -> await(() -> ready(node)));
-	}
-
-	@AfterMethod
-	void end() throws InterruptedException {
-		this.nodes.forEach(Node::close);
-		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(WAIT_MS);
-	}
-
-	private void addUpstream(String service, String id) {
-		UpstreamStandin upstream = UpstreamStandin.start(id, this.group);
-		this.upstreams.put(id, upstream);
-		this.store.put("servers", id, upstream.entry(service, "d", "ready"));
-	}
-
-	private NodeSettings settings(String vm) {
-		Address any = new Address("127.0.0.1", 0);
-		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, this.store.address(),
-				new NodeSettings.Bounds(4_000, 0.2, 10_000, 50));
-	}
-
-	private static void await(BooleanSupplier condition) {
-		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
-		while (!condition.getAsBoolean()) {
-			assertTrue(System.nanoTime() < end, "not in time");
-			pause(10);
-		}
-	}
-
-	private static void pause(long ms) {
-		try {
-			Thread.sleep(ms);
-		}
-		catch (InterruptedException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
-	private static boolean ready(Node node) {
-		return exchange(node.readinessPort(), "GET /v1/readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
-			.startsWith("HTTP/1.1 200");
-	}
-
-	private static String exchange(int port, String text) {
-		try (Socket socket = new Socket("127.0.0.1", port)) {
-			socket.setSoTimeout(WAIT_MS);
-			socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-		}
-		catch (IOException ex) {
-			return "failed: " + ex.getMessage();
-		}
-	}
-
-	private static String request(Node node, String path, String id, String fields) {
-		return exchange(node.callersPort(), "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Tallycart-Request-Id: " + id
-				+ "\r\nX-Tallycart-Deadline-Ms: 5000\r\nConnection: close\r\n" + fields + "\r\n");
-	}
-
-	private int runs(String id) {
-		return this.upstreams.values().stream().mapToInt((upstream) -> upstream.runs(id)).sum();
-	}
-
-	private void setFault(String service, UpstreamStandin.Fault fault) {
-		this.upstreams.forEach((id, upstream) -> {
-			if (id.startsWith("i-" + service)) {
-				upstream.setFault(fault);
-			}
-		});
+	@Override
+	int vms() {
+		return 2;
 	}
 
 	@Test
@@ -163,7 +33,7 @@
 			assertTrue(answer.endsWith("GET /plain/x?y=z for r1"));
 			assertTrue(answer.contains("X-Tallycart-Response-Stamp: i-plain"));
 		}
-		assertEquals(runs("r1"), VMS);
+		assertEquals(runs("r1"), vms());
 	}
 
 	@DataProvider
@@ -197,8 +67,8 @@
 			assertEquals(runs(id), 1);
 		}
 		int pieces = this.upstreams.values().stream().flatMap((u) -> u.batches().stream()).mapToInt((n) -> n).sum();
-		assertEquals(pieces, VMS * 5);
-		await(() -> this.upstreams.values().stream().mapToInt(UpstreamStandin::freed).sum() == VMS * 5);
+		assertEquals(pieces, vms() * 5);
+		await(() -> this.upstreams.values().stream().mapToInt(UpstreamStandin::freed).sum() == vms() * 5);
 	}
 
 	@Test
@@ -215,7 +85,7 @@
 	@Test
 	void aSessionKeepsItsEngineOnEveryVm() {
 		for (int i = 0; i < 6; i++) {
-			request(this.nodes.get(i % VMS), "/fragile/x", "r" + i, GENERATION);
+			request(this.nodes.get(i % vms()), "/fragile/x", "r" + i, GENERATION);
 		}
 		long engines = this.upstreams.values().stream().filter((upstream) -> !upstream.allRuns().isEmpty()).count();
 		assertEquals(engines, 1);
--- /dev/null
+++ b/node/src/test/java/org/tallycart/node/StoreFollowingTests.java
@@ -0,0 +1,87 @@
+package org.tallycart.node;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+/**
+ * Tests for following the store through one VM of a failure domain.
+ */
+public class StoreFollowingTests extends AbstractNodeTests {
+
+	private static final String KIND = "config";
+
+	@Override
+	int vms() {
+		return 4;
+	}
+
+	@BeforeMethod(dependsOnMethods = "begin")
+	void settle() {
+		await(() -> followers() == 1);
+	}
+
+	private long followers() {
+		return this.nodes.stream().filter(StoreFollowingTests::follows).count();
+	}
+
+	private static boolean follows(Node node) {
+		return metrics(node).contains("\nstore_following 1.0");
+	}
+
+	private static String metrics(Node node) {
+		return exchange(node.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	}
+
+	private void change(int version, String path) {
+		this.store.put(KIND, "main", String.format(CONFIG, version).replace("/plain/", path));
+	}
+
+	private void awaitServed(String path) {
+		this.nodes.forEach((node) -> await(() -> request(node, path + "x", "r1", KEY).startsWith("HTTP/1.1 200")));
+	}
+
+	@Test
+	void oneVmReadsAChangeAndAllHaveIt() {
+		int before = this.store.watches(KIND);
+		change(9, "/fresh/");
+		awaitServed("/fresh/");
+		assertEquals(this.store.watches(KIND) - before, 1);
+	}
+
+	@Test
+	void changesGoOnWhenTheVmThatReadsThemIsLost() {
+		Node reader = this.nodes.stream().filter(StoreFollowingTests::follows).findFirst().orElseThrow();
+		reader.close();
+		this.nodes.remove(reader);
+		change(9, "/fresh/");
+		awaitServed("/fresh/");
+		await(() -> followers() == 1);
+	}
+
+	@Test
+	void anUpstreamThatIsUnlistedGetsNothingFromAnyVm() {
+		this.store.remove("servers", "i-plain0");
+		this.nodes.forEach((node) -> await(() -> metrics(node).contains("\nupstreams 5.0")));
+		int before = this.upstreams.get("i-plain0").allRuns().size();
+		this.nodes.forEach((node) -> {
+			for (int i = 0; i < 8; i++) {
+				assertFalse(request(node, "/plain/x", "q" + i, KEY).contains("i-plain0"));
+			}
+		});
+		assertEquals(this.upstreams.get("i-plain0").allRuns().size(), before);
+	}
+
+	@Test
+	void inAnOutageEachVmLooksForTheStoreAndAfterItOneReadsForAll() {
+		this.store.setDown(true);
+		await(() -> followers() == this.nodes.size());
+		this.store.setDown(false);
+		await(() -> followers() == 1);
+		change(9, "/fresh/");
+		awaitServed("/fresh/");
+	}
+
+}
