A fault soak: real serving processes under seeded faults from outside

Change: integration-tests' soak package: tallycart-node processes, a proxy on each path (store, upstreams, between VMs), a seeded series of overlapping kills, freezes, stops, cuts, refusals, delays, silences, lost bytes, store outages, lapsed entries, configurations and settings; checked are whole and own answers, at most one run, true refusals, recovery, configuration in force, leaving upstreams. Two seeds in every build; more by -Dsoak.first and -Dsoak.seeds.

--- /dev/null
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -0,0 +1,194 @@
+package org.tallycart.integration.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.tallycart.platform.standin.UpstreamStandin;
+import org.tallycart.standin.FaultProxy;
+import org.tallycart.testbed.ManagedProcess;
+
+/**
+ * A seeded series of faults, which overlap. Each is undone after a while.
+ * <p>
+ * Not thread-safe.
+ */
+final class SoakFaults implements AutoCloseable {
+
+	private static final int MAX_GAP_MS = 500;
+
+	private static final int LEAST_LENGTH_MS = 200;
+
+	private static final int MAX_LENGTH_MS = 2_500;
+
+	private static final int MAX_DELAY_MS = 150;
+
+	private final SoakFleet fleet;
+
+	private final Violations violations;
+
+	private final Random random;
+
+	private final ScheduledExecutorService undoing = Executors.newScheduledThreadPool(4);
+
+	private final List<Future<?>> undone = new ArrayList<>();
+
+	SoakFaults(SoakFleet fleet, Violations violations, long seed) {
+		this.fleet = fleet;
+		this.violations = violations;
+		this.random = new Random(seed);
+	}
+
+	/**
+	 * Do harm for a while, and undo all of it.
+	 * @param ms for how long new faults begin, in milliseconds
+	 */
+	void run(long ms) throws Exception {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+		while (System.nanoTime() < end) {
+			next();
+			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
+		}
+		for (Future<?> each : this.undone) {
+			each.get();
+		}
+	}
+
+	private <T> T pick(List<T> from) {
+		return from.get(this.random.nextInt(from.size()));
+	}
+
+	private void next() throws IOException {
+		SoakNode node = pick(this.fleet.nodes());
+		String upstream = pick(this.fleet.upstreamIds());
+		switch (this.random.nextInt(12)) {
+			case 0 -> kill(node);
+			case 1 -> freeze(node);
+			case 2 -> stop(node);
+			case 3 -> harm("store path of " + node.vm(), node.store());
+			case 4 -> harm("path of " + upstream, this.fleet.upstreamPath(upstream));
+			case 5, 6 -> harm("a path between VMs", pick(this.fleet.peerPaths()));
+			case 7 -> misbehave(upstream);
+			case 8 -> storeOutage();
+			case 9 -> lapse(upstream);
+			case 10 -> {
+				this.violations.note("version " + this.fleet.changeConfig());
+				if (this.random.nextBoolean()) {
+					this.fleet.store().forgetHistory();
+				}
+			}
+			default -> changeSettings(node);
+		}
+	}
+
+	private void undoLater(Undo undo) {
+		int after = LEAST_LENGTH_MS + this.random.nextInt(MAX_LENGTH_MS);
+		this.undone.add(this.undoing.schedule(() -> {
+			undo.run();
+			return null;
+		}, after, TimeUnit.MILLISECONDS));
+	}
+
+	private void kill(SoakNode node) {
+		this.violations.note("kill " + node.incarnation());
+		node.process().kill();
+		undoLater(node::restart);
+	}
+
+	private void freeze(SoakNode node) {
+		ManagedProcess process = node.process();
+		this.violations.note("freeze " + node.incarnation());
+		process.freeze();
+		undoLater(process::wake);
+	}
+
+	private void stop(SoakNode node) {
+		ManagedProcess process = node.process();
+		this.violations.note("stop " + node.incarnation());
+		process.requestStop();
+		undoLater(() -> {
+			process.awaitEnd();
+			node.restart();
+		});
+	}
+
+	private void harm(String name, FaultProxy path) {
+		FaultProxy.Direction direction = this.random.nextBoolean() ? path.towardsTarget() : path.towardsCaller();
+		int how = this.random.nextInt(5);
+		this.violations.note("harm " + how + " to " + name);
+		switch (how) {
+			case 0 -> path.cut();
+			case 1 -> {
+				path.cut();
+				path.refuse(true);
+			}
+			case 2 -> direction.delay(this.random.nextInt(MAX_DELAY_MS));
+			case 3 -> direction.freeze(true);
+			default -> direction.drop(true);
+		}
+		undoLater(() -> {
+			// Bytes that were dropped never come, so the connection cannot go on.
+			if (how >= 3) {
+				path.cut();
+			}
+			path.refuse(false);
+			direction.delay(0);
+			direction.freeze(false);
+			direction.drop(false);
+		});
+	}
+
+	private void misbehave(String upstream) {
+		UpstreamStandin.Fault fault = pick(List.of(UpstreamStandin.Fault.values()));
+		this.violations.note(upstream + " " + fault);
+		this.fleet.upstream(upstream).setFault(fault);
+		undoLater(() -> this.fleet.upstream(upstream).setFault(UpstreamStandin.Fault.NONE));
+	}
+
+	private void storeOutage() {
+		boolean silent = this.random.nextBoolean();
+		this.violations.note("store " + (silent ? "silent" : "down"));
+		if (silent) {
+			this.fleet.store().setMute(true);
+		}
+		else {
+			this.fleet.store().setDown(true);
+		}
+		undoLater(() -> {
+			this.fleet.store().setMute(false);
+			this.fleet.store().setDown(false);
+		});
+	}
+
+	private void lapse(String upstream) {
+		this.violations.note("entry of " + upstream + " lapses");
+		if (this.fleet.store().names("servers").contains(upstream)) {
+			this.fleet.store().remove("servers", upstream);
+		}
+		undoLater(() -> this.fleet.list(upstream, "ready"));
+	}
+
+	private void changeSettings(SoakNode node) throws IOException {
+		this.violations.note("settings of " + node.vm());
+		node.writeSettings(20 + this.random.nextInt(60));
+	}
+
+	@Override
+	public void close() {
+		this.undoing.shutdownNow();
+	}
+
+	/** Undoes a fault. */
+	@FunctionalInterface
+	private interface Undo {
+
+		void run() throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakNode.java
@@ -0,0 +1,128 @@
+package org.tallycart.integration.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.tallycart.core.ini.Address;
+import org.tallycart.node.NodeMain;
+import org.tallycart.standin.FaultProxy;
+import org.tallycart.testbed.ManagedProcess;
+
+/**
+ * One VM: a serving process in a JVM of its own, with its way to the store through a
+ * proxy.
+ * <p>
+ * Thread-safe: its methods hold its lock.
+ */
+final class SoakNode implements AutoCloseable {
+
+	private static final Pattern STARTED = Pattern
+		.compile("name=PROCESS_STARTED .*callers=\\S+:(\\d+) readiness=\\S+:(\\d+) ");
+
+	private static final List<String> JVM = List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
+			"-XX:TieredStopAtLevel=1");
+
+	private final String vm;
+
+	private final String domain;
+
+	private final Path folder;
+
+	private final FaultProxy store;
+
+	private ManagedProcess process;
+
+	private int starts;
+
+	SoakNode(String vm, String domain, Path folder, Address store) throws IOException {
+		this.vm = vm;
+		this.domain = domain;
+		this.folder = folder;
+		this.store = FaultProxy.start(store);
+		writeSettings(52);
+		this.process = launch();
+	}
+
+	private Path settings() {
+		return this.folder.resolve(this.vm + ".conf");
+	}
+
+	void writeSettings(int retrySlack) throws IOException {
+		Files.writeString(settings(), """
+				node=%s
+				ip=127.0.0.1
+				zone=%s
+				listen.front=127.0.0.1:0
+				listen.ready=127.0.0.1:0
+				port_range=0,0
+				limits.cpu_share=1
+				limits.cores=1
+				platform.address=%s
+				bounds.grace_s=5
+				bounds.retry_ratio=0.2
+				bounds.retry_window_s=10
+				bounds.retry_slack=%d
+				""".formatted(this.vm, this.domain, this.store.address(), retrySlack));
+	}
+
+	private ManagedProcess launch() throws IOException {
+		this.starts++;
+		Path log = this.folder.resolve(this.vm + "-" + this.starts + ".log");
+		return ManagedProcess.start(NodeMain.class.getName(),
+				List.of("--settings", settings().toString(), "--metrics-port", "0"), log, JVM, SoakNode::ports);
+	}
+
+	private static Map<String, Integer> ports(String line) {
+		Matcher matcher = STARTED.matcher(line);
+		Map<String, Integer> ports = new HashMap<>();
+		if (matcher.find()) {
+			ports.put("callers", Integer.valueOf(matcher.group(1)));
+			ports.put("readiness", Integer.valueOf(matcher.group(2)));
+		}
+		return ports;
+	}
+
+	String vm() {
+		return this.vm;
+	}
+
+	FaultProxy store() {
+		return this.store;
+	}
+
+	synchronized Address callers() {
+		return this.process.address("callers");
+	}
+
+	synchronized Address readiness() {
+		return this.process.address("readiness");
+	}
+
+	// Names one life of the process.
+	synchronized String incarnation() {
+		return this.vm + "#" + this.starts;
+	}
+
+	synchronized ManagedProcess process() {
+		return this.process;
+	}
+
+	synchronized void restart() throws IOException {
+		if (!this.process.alive()) {
+			this.process = launch();
+		}
+	}
+
+	@Override
+	public synchronized void close() {
+		this.process.kill();
+		this.store.close();
+	}
+
+}
--- /dev/null
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -0,0 +1,136 @@
+package org.tallycart.integration.soak;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.LongStream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/**
+ * A soak of real processes under seeded faults. What was promised is checked while it
+ * runs and when all faults are undone.
+ * <p>
+ * {@code -Dsoak.first=N -Dsoak.seeds=M} runs other seeds than the few of every build;
+ * {@code -Dsoak.vms=N} takes more VMs. Logs are under {@code target/soak}.
+ */
+public class SoakTests {
+
+	/**
+	 * Seeds of every build. Those that ever failed stay here, with a line on the cause.
+	 */
+	private static final long[] REGRESSIONS = {};
+
+	private static final int DEFAULT_SEEDS = 2;
+
+	private static final int DEFAULT_VMS = 3;
+
+	private static final long HARM_MS = 6_000;
+
+	/** By when all VMs serve again after the last fault is undone, in milliseconds. */
+	private static final long RECOVERY_MS = 12_000;
+
+	/** By when a version is in force everywhere, in milliseconds. */
+	private static final long APPLY_MS = 2_000;
+
+	/** After which a leaving upstream gets nothing new, in milliseconds. */
+	private static final long DRAIN_MS = 2_000;
+
+	private static final int CALLS = 10;
+
+	@DataProvider
+	static Object[][] seeds() {
+		long first = Long.getLong("soak.first", 1);
+		long count = Long.getLong("soak.seeds", DEFAULT_SEEDS);
+		return LongStream.concat(LongStream.of(REGRESSIONS), LongStream.range(first, first + count))
+			.distinct()
+			.mapToObj((seed) -> new Object[] { seed })
+			.toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "seeds")
+	void promisesHoldWhateverFails(long seed) throws Exception {
+		Violations violations = new Violations();
+		int vms = Integer.getInteger("soak.vms", DEFAULT_VMS);
+		Path folder = Path.of("target", "soak", "seed-" + seed);
+		try (SoakFleet fleet = new SoakFleet(folder, vms);
+				SoakFaults faults = new SoakFaults(fleet, violations, seed)) {
+			fleet.nodes().forEach((node) -> within(RECOVERY_MS, () -> serves(fleet, node, violations)));
+			try (SoakCallers callers = new SoakCallers(fleet, violations, seed)) {
+				faults.run(HARM_MS);
+				violations.note("all faults are undone");
+				checkRecovery(fleet, callers, violations);
+				checkConfiguration(fleet, callers, violations);
+				checkLeaving(fleet, callers, violations);
+				callers.stop();
+				callers.checkRuns();
+			}
+		}
+		assertTrue(violations.isEmpty(), "seed " + seed + ", logs in " + folder + ":\n" + violations);
+	}
+
+	private static boolean serves(SoakFleet fleet, SoakNode node, Violations violations) {
+		try (SoakCallers probe = SoakCallers.idle(fleet, violations)) {
+			return probe.status(node, "/plain/x", "begin") == 200;
+		}
+	}
+
+	private static void checkRecovery(SoakFleet fleet, SoakCallers callers, Violations violations) {
+		for (SoakNode node : fleet.nodes()) {
+			for (String path : new String[] { "/plain/x", "/once/x", "/stream/x" }) {
+				String name = "recovered" + path.charAt(1) + node.vm() + "-";
+				int[] round = new int[1];
+				boolean served = within(RECOVERY_MS,
+						() -> callers.served(node, path, CALLS, name + round[0]++ + "-") == CALLS);
+				if (!served) {
+					violations.add(node.incarnation() + " does not serve " + path + " after all faults are undone");
+				}
+			}
+		}
+	}
+
+	private static void checkConfiguration(SoakFleet fleet, SoakCallers callers, Violations violations) {
+		int version = fleet.changeConfig();
+		SoakCallers.pause(APPLY_MS);
+		for (SoakNode node : fleet.nodes()) {
+			int status = callers.status(node, "/v" + version + "/x", "new" + node.vm());
+			int older = callers.status(node, "/v" + (version - 1) + "/x", "old" + node.vm());
+			if (status != 200 || older != 404) {
+				violations.add(node.incarnation() + " answers " + status + " by version " + version + " and " + older
+						+ " by the one before");
+			}
+		}
+	}
+
+	private static void checkLeaving(SoakFleet fleet, SoakCallers callers, Violations violations) {
+		String leaving = fleet.upstreamIds()
+			.stream()
+			.filter((id) -> id.startsWith("i-plain"))
+			.findFirst()
+			.orElseThrow();
+		fleet.list(leaving, "draining");
+		SoakCallers.pause(DRAIN_MS);
+		Map<String, Integer> before = fleet.upstream(leaving).allRuns();
+		fleet.nodes().forEach((node) -> callers.served(node, "/plain/x", CALLS, "leaving" + node.vm() + "-"));
+		Map<String, Integer> after = fleet.upstream(leaving).allRuns();
+		after.keySet().removeAll(before.keySet());
+		if (!after.isEmpty()) {
+			violations.add(leaving + " got " + after.size() + " requests after it was leaving for " + DRAIN_MS + " ms");
+		}
+	}
+
+	private static boolean within(long ms, BooleanSupplier condition) {
+		long end = System.nanoTime() + ms * 1_000_000;
+		while (System.nanoTime() < end) {
+			if (condition.getAsBoolean()) {
+				return true;
+			}
+			SoakCallers.pause(50);
+		}
+		return false;
+	}
+
+}
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -197,7 +197,9 @@
 		this.metrics.gauge("store.following", () -> this.store.following() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
-				"callers", this.settings.callers(), "store", this.settings.store());
+				"callers", new Address(this.settings.ip(), callersPort()), "readiness",
+				new Address(this.settings.ip(), readinessPort()), "metrics",
+				new Address(this.settings.ip(), metricsPort()), "store", this.settings.store());
 		this.mesh.want(List.of(this.store.duty()));
 		this.mesh.start();
 		this.store.start(this.mesh, listeners.peers());
--- a/testbed/src/main/java/org/tallycart/testbed/ManagedProcess.java
+++ b/testbed/src/main/java/org/tallycart/testbed/ManagedProcess.java
@@ -4,12 +4,14 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.tallycart.core.ini.Address;
 
@@ -26,6 +28,8 @@
 
 	private static final long STOP_SECONDS = 60;
 
+	private static final long LOG_POLL_MS = 20;
+
 	private final Process process;
 
 	private final Map<String, Integer> ports;
@@ -67,6 +71,48 @@
 		return new ManagedProcess(process, ports(line));
 	}
 
+	/**
+	 * Start a process that tells in its log where it listens, and wait for that line.
+	 * @param mainClass its main class
+	 * @param arguments its arguments
+	 * @param log where its output goes
+	 * @param jvmOptions options of its JVM
+	 * @param line finds the ports' names and numbers in a line of the log
+	 * @return the process
+	 * @throws IOException if it does not start
+	 */
+	public static ManagedProcess start(String mainClass, List<String> arguments, Path log, List<String> jvmOptions,
+			Function<String, Map<String, Integer>> line) throws IOException {
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(jvmOptions);
+		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+		command.addAll(arguments);
+		Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-child"));
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(STOP_SECONDS);
+		while (process.isAlive() && System.nanoTime() < end) {
+			for (String written : Files.readAllLines(log)) {
+				Map<String, Integer> ports = line.apply(written);
+				if (!ports.isEmpty()) {
+					return new ManagedProcess(process, ports);
+				}
+			}
+			pause();
+		}
+		process.destroyForcibly();
+		throw new IOException(mainClass + " did not start; see " + log);
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(LOG_POLL_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static Map<String, Integer> ports(String line) {
 		Map<String, Integer> ports = new HashMap<>();
 		for (String word : line.substring(STARTED.length()).split(" ")) {
