--- a/node/src/main/java/org/tallycart/node/NodeMain.java
+++ b/node/src/main/java/org/tallycart/node/NodeMain.java
@@ -45,6 +45,9 @@
 	@Option(names = "--metrics-port", description = "Where metrics are shown; ${DEFAULT-VALUE} if not given.")
 	private int metricsPort = DEFAULT_METRICS_PORT;
 
+	@Option(names = "--self-test", description = "Start on loopback without settings or a store, and stop.")
+	private boolean selfTest;
+
 	@Option(names = "--check", description = "Check the settings and stop.")
 	private boolean check;
 
@@ -58,6 +61,9 @@
 
 	@Override
 	public Integer call() throws InterruptedException {
+		if (this.selfTest) {
+			return selfTest(this.logLevel);
+		}
 		String variable = System.getenv(SettingsReader.PATH_VARIABLE);
 		String path = (this.settingsPath.isEmpty() && variable != null) ? variable : this.settingsPath;
 		SettingsSource source = new SettingsSource(Path.of(path));
@@ -80,6 +86,13 @@
 		return ExitCode.OK;
 	}
 
+	private static int selfTest(String logLevel) throws InterruptedException {
+		NodeLogging.configure(logLevel);
+		List<String> failures = SelfTest.run();
+		failures.forEach((failure) -> System.err.println("self-test: " + failure));
+		return failures.isEmpty() ? ExitCode.OK : ExitCode.FAILED;
+	}
+
 	private static void watchSignals(Node node, SettingsSource source) {
 		Signal.handle(new Signal("TERM"), (signal) -> node.drain());
 		Signal.handle(new Signal("INT"), (signal) -> node.drain());
