--- a/core/src/main/java/org/tallycart/core/pool/StagePlan.java
+++ b/core/src/main/java/org/tallycart/core/pool/StagePlan.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.IntToLongFunction;
 
 import org.jspecify.annotations.Nullable;
 import org.tallycart.core.serving.StageSpec;
@@ -131,6 +132,28 @@
 		return longest;
 	}
 
+	/**
+	 * Return how long all stages take, if those that need not wait for each other run at
+	 * the same time.
+	 * @param stageMs how long a stage takes, by its number, in milliseconds
+	 * @return milliseconds; 0 where there are no pieces
+	 */
+	public long longestMs(IntToLongFunction stageMs) {
+		long longest = 0;
+		for (int i = 0; i < this.stages.size(); i++) {
+			longest = Math.max(longest, longestMs(i, stageMs));
+		}
+		return longest;
+	}
+
+	private long longestMs(int last, IntToLongFunction stageMs) {
+		long before = 0;
+		for (int input : this.stages.get(last).after()) {
+			before = Math.max(before, longestMs(input, stageMs));
+		}
+		return before + ((this.handles[last].length > 0) ? stageMs.applyAsLong(last) : 0);
+	}
+
 	/**
 	 * Return the inputs of a stage's pieces.
 	 * @param stage its number
--- a/core/src/test/java/org/tallycart/core/pool/StagePlanTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/StagePlanTests.java
@@ -38,6 +38,14 @@
 		assertEquals(plan.finalHandles(), List.of("m/0", "m/4"));
 	}
 
+	@Test
+	void theLongestChainTells() {
+		long[] stageMs = { 700, 100, 200, 300 };
+		assertEquals(new StagePlan(STAGES, List.of(1, 1, 1, 1)).longestMs((i) -> stageMs[i]), 700);
+		assertEquals(new StagePlan(STAGES, List.of(0, 1, 0, 1)).longestMs((i) -> stageMs[i]), 400);
+		assertEquals(new StagePlan(STAGES, List.of()).longestMs((i) -> stageMs[i]), 0);
+	}
+
 	@Test
 	void stagesWithoutPiecesAreOmitted() {
 		StagePlan plan = new StagePlan(STAGES, List.of(0, 1, 1, 1));
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -12,6 +12,7 @@
 import org.tallycart.core.pool.PieceId;
 import org.tallycart.core.pool.PieceJob;
 import org.tallycart.core.pool.PieceOutcome;
+import org.tallycart.core.pool.StageTimes;
 import org.tallycart.core.serving.PoolSpec;
 import org.tallycart.core.serving.ServiceSpec;
 import org.tallycart.core.serving.UpstreamEntry;
@@ -72,6 +73,8 @@
 
 	private final Map<String, PieceReleases.Builder> releasesToSend = new HashMap<>();
 
+	private final StageTimes times = new StageTimes();
+
 	private boolean sendPlanned;
 
 	private Optional<PeerMesh> mesh = Optional.empty();
@@ -142,6 +145,14 @@
 	 * @return the VM that dispatches it
 	 */
 	public String ask(PieceJob job, PieceAsker asker) {
+		this.times.onAsked(job, this.loop.nowMs());
+		return dispatch(job, (id, outcome) -> {
+			this.times.onOutcome(id, this.loop.nowMs());
+			asker.onOutcome(id, outcome);
+		});
+	}
+
+	private String dispatch(PieceJob job, PieceAsker asker) {
 		String owner = dispatcher(job.service());
 		if (owner.equals(this.vm)) {
 			askHere(job, asker);
@@ -183,12 +194,23 @@
 		});
 	}
 
+	/**
+	 * Return how long a piece that is asked for now will probably take.
+	 * @param service its pool
+	 * @param priority the request's rank
+	 * @return milliseconds
+	 */
+	public long expectedMs(String service, int priority) {
+		return this.times.expectedMs(service, priority, this.loop.nowMs());
+	}
+
 	/**
 	 * Withdraw a piece.
 	 * @param service its pool
 	 * @param id the piece
 	 */
 	public void withdraw(String service, PieceId id) {
+		this.times.onWithdrawn(id);
 		Outstanding remote = this.outstanding.remove(id);
 		if (remote != null) {
 			this.withdrawalsToSend.computeIfAbsent(remote.owner, (key) -> PieceWithdrawals.newBuilder())
@@ -302,7 +324,7 @@
 		for (Outstanding waiting : new ArrayList<>(this.outstanding.values())) {
 			if (waiting.owner.equals(lost)) {
 				this.outstanding.remove(waiting.job.id());
-				ask(waiting.job, waiting.asker);
+				dispatch(waiting.job, waiting.asker);
 			}
 		}
 	}
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -56,6 +56,18 @@
 		this.stages = new StagePlan(plan.route().stages(), plan.request().pieceCounts());
 	}
 
+	/**
+	 * Return by how much the request will probably miss a time, as stage work goes at
+	 * present.
+	 * @param byMs the time, on the steady clock
+	 * @return milliseconds; 0 or less if it will be met
+	 */
+	long expectedExcessMs(long byMs) {
+		long workMs = this.stages.longestMs((stage) -> this.serving.pieces()
+			.expectedMs(this.plan.route().stages().get(stage).service(), this.plan.priority()));
+		return (workMs > 0) ? this.serving.loop().nowMs() + workMs + engineMs() - byMs : 0;
+	}
+
 	void start() {
 		if (this.engineDomain.isEmpty()) {
 			this.engineDomain = findEngineDomain();
