--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -108,7 +108,6 @@
 	 */
 	public void start(PeerMesh peers) {
 		this.mesh = Optional.of(peers);
-		this.loop.every(PoolDriver.TICK_MS, () -> this.drivers.values().forEach(PoolDriver::tick));
 	}
 
 	/**
@@ -189,6 +188,7 @@
 			PoolDriver fresh = new PoolDriver(service, spec, this.http, this.loop, this.log, this.returns,
 					this.metrics);
 			fresh.update(spec, workers(service));
+			this.loop.every(PoolDriver.TICK_MS, fresh::tick);
 			this.drivers.put(service, fresh);
 			return fresh;
 		});
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -58,7 +58,7 @@
 	private static final long START_MS = 1_000;
 
 	/** Time between two looks at whom to follow, in milliseconds. */
-	private static final long REVIEW_MS = 100;
+	private static final long REVIEW_MS = 200;
 
 	/**
 	 * How long another VM has to be fit to be followed before it is, in milliseconds: the
