--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -23,7 +23,8 @@
 	 * Seeds of every build. Those that ever failed stay here, with a line on the cause.
 	 */
 	private static final long[] REGRESSIONS = {
-			// A watch that a silent store had dropped hung for 5 s, at the VM that reads for
+			// A watch that a silent store had dropped hung for 5 s, at the VM that reads
+			// for
 			// all.
 			112 };
 
