--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -90,4 +90,16 @@
 		assertTrue(this.directory.at(new Address("10.0.0.1", 'a')).isEmpty());
 	}
 
+	@Test
+	void whatAnotherVmSaysOfAnOutageKeepsVanishedEntriesForThatTime() {
+		assertEquals(this.directory.untrustedMs(0), 0);
+		this.directory.distrustUntil(1_500);
+		assertEquals(this.directory.untrustedMs(1_000), 500);
+		this.directory.remove("a", 1_000);
+		this.directory.tick(1_400);
+		assertEquals(candidates(1_400), List.of("a", "b"));
+		this.directory.tick(1_500);
+		assertEquals(candidates(1_500), List.of("b"));
+	}
+
 }
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -66,17 +66,18 @@
 	private void next() throws IOException {
 		SoakNode node = pick(this.fleet.nodes());
 		String upstream = pick(this.fleet.upstreamIds());
-		switch (this.random.nextInt(12)) {
+		switch (this.random.nextInt(15)) {
 			case 0 -> kill(node);
 			case 1 -> freeze(node);
 			case 2 -> stop(node);
 			case 3 -> harm("store path of " + node.vm(), node.store());
 			case 4 -> harm("path of " + upstream, this.fleet.upstreamPath(upstream));
 			case 5, 6 -> harm("a path between VMs", pick(this.fleet.peerPaths()));
-			case 7 -> misbehave(upstream);
-			case 8 -> storeOutage();
-			case 9 -> lapse(upstream);
-			case 10 -> {
+			case 7, 8, 9 -> misbehave(upstream);
+			case 10 -> this.fleet.upstreamPath(upstream).cut();
+			case 11 -> storeOutage();
+			case 12 -> lapse(upstream);
+			case 13 -> {
 				this.violations.note("version " + this.fleet.changeConfig());
 				if (this.random.nextBoolean()) {
 					this.fleet.store().forgetHistory();
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -50,6 +50,9 @@
 
 	private static final int UPSTREAMS_EACH = 3;
 
+	/** How long a request runs, so that faults meet some that run, in milliseconds. */
+	private static final long WORK_MS = 40;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final StoreStandin store = StoreStandin.start(this.group);
@@ -94,6 +97,7 @@
 		UpstreamStandin upstream = UpstreamStandin.start(id, this.group);
 		FaultProxy path = FaultProxy.start(upstream.address());
 		upstream.advertise(path.address());
+		upstream.setWork(WORK_MS);
 		this.upstreams.put(id, upstream);
 		this.upstreamPaths.put(id, path);
 		list(id, "ready");
