Read again: one way to launch a JVM, one look for the holder, names and dead code

Found by reading the whole change; behaviour stays as it is. - ManagedProcess built its command and its shutdown hook twice: jvm() and launch() serve both starts. - StoreLink looked for the holder in two places, and kept two fields that only its constructor used. - RetryBudgets and RetryWindow count the VMs that share a budget, not live ones: the name says so now. - Dead: RecordSink.records, EngineChooser.TOKENS_PER_MS (PromptCost has the figure that is used). Ruled out as duplicates: pairs in generated messages, and pairs by shape of declarations.

--- a/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
+++ b/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
@@ -20,11 +20,6 @@
  */
 public final class EngineChooser {
 
-	/**
-	 * Prompt tokens that an engine reads in a millisecond; from the sheets of the sites.
-	 */
-	private static final double TOKENS_PER_MS = 32;
-
 	/** What leaving the home costs at least, in milliseconds: a copy has to be set up. */
 	private static final double LEAVE_MS = 30;
 
--- a/core/src/main/java/org/tallycart/core/upstream/RetryWindow.java
+++ b/core/src/main/java/org/tallycart/core/upstream/RetryWindow.java
@@ -50,14 +50,14 @@
 
 	/**
 	 * Ask to send a request again.
-	 * @param liveVms how many VMs share the slack
+	 * @param sharingVms how many VMs share the slack
 	 * @param nowMs the steady clock
 	 * @return whether it may be sent
 	 */
-	public boolean tryRepeat(int liveVms, long nowMs) {
+	public boolean tryRepeat(int sharingVms, long nowMs) {
 		expire(this.arrivals, nowMs);
 		expire(this.repeats, nowMs);
-		double allowed = USED_SHARE * (this.ratio * this.arrivals.size() + this.slack / Math.max(liveVms, 1));
+		double allowed = USED_SHARE * (this.ratio * this.arrivals.size() + this.slack / Math.max(sharingVms, 1));
 		if (this.repeats.size() + 1 > allowed) {
 			return false;
 		}
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -32,7 +32,7 @@
 public final class PeerMesh {
 
 	/** Time between two looks at who has to be asked, in milliseconds. */
-	static final long TICK_MS = 100;
+	private static final long TICK_MS = 100;
 
 	private final DutyTable table;
 
--- a/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
+++ b/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
@@ -19,7 +19,7 @@
 
 	private final Loop loop;
 
-	private final IntSupplier liveVms;
+	private final IntSupplier sharingVms;
 
 	private final Map<String, RetryWindow> windows = new HashMap<>();
 
@@ -29,12 +29,12 @@
 	 * Create budgets.
 	 * @param bounds the figures to be kept
 	 * @param loop the event loop
-	 * @param liveVms how many VMs share the budgets
+	 * @param sharingVms how many VMs share the budgets
 	 */
-	public RetryBudgets(NodeSettings.Bounds bounds, Loop loop, IntSupplier liveVms) {
+	public RetryBudgets(NodeSettings.Bounds bounds, Loop loop, IntSupplier sharingVms) {
 		this.bounds = bounds;
 		this.loop = loop;
-		this.liveVms = liveVms;
+		this.sharingVms = sharingVms;
 	}
 
 	/**
@@ -53,7 +53,7 @@
 	}
 
 	boolean tryRepeat(String service) {
-		return window(service).tryRepeat(this.liveVms.getAsInt(), this.loop.nowMs());
+		return window(service).tryRepeat(this.sharingVms.getAsInt(), this.loop.nowMs());
 	}
 
 	private RetryWindow window(String service) {
--- a/node/src/main/java/org/tallycart/node/store/RecordSink.java
+++ b/node/src/main/java/org/tallycart/node/store/RecordSink.java
@@ -57,8 +57,4 @@
 			.peekLeft((reason) -> this.log.event(EventCode.VM_LOST, "vm", object.name(), "reason", reason));
 	}
 
-	Map<String, VmRecord> records() {
-		return this.records;
-	}
-
 }
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -90,10 +90,6 @@
 
 	private final VmRecords records;
 
-	private final FollowedKind config;
-
-	private final FollowedKind upstreams;
-
 	private final FollowedKind vms;
 
 	private final List<FollowedKind> kinds;
@@ -133,14 +129,14 @@
 		this.loop = loop;
 		this.log = log;
 		this.records = new VmRecords(client);
-		this.config = kind(Feed.CONFIGURATION, new ConfigSink(config, log, onChange),
+		FollowedKind configuration = kind(Feed.CONFIGURATION, new ConfigSink(config, log, onChange),
 				(listener) -> watch(client, ConfigDecoder.KIND, listener));
-		this.upstreams = kind(Feed.UPSTREAMS, new UpstreamSink(directory, loop, log, onChange),
+		FollowedKind upstreams = kind(Feed.UPSTREAMS, new UpstreamSink(directory, loop, log, onChange),
 				(listener) -> watch(client, UpstreamDecoder.KIND, listener));
 		this.vms = kind(Feed.VMS, new RecordSink(log, (all) -> this.mesh.ifPresent((peers) -> peers.know(all))),
 				(listener) -> new ObjectFeed(client, loop.executor(), VmRecords.KIND, OptionalLong.of(RECORDS_MS),
 						listener));
-		this.kinds = List.of(this.config, this.upstreams, this.vms);
+		this.kinds = List.of(configuration, upstreams, this.vms);
 	}
 
 	private ObjectFeed watch(ObjectClient client, String kind, FeedListener listener) {
@@ -185,7 +181,7 @@
 
 	private void review() {
 		long now = this.loop.nowMs();
-		String holder = this.mesh.map((peers) -> peers.holder(this.duty)).orElse(this.settings.vm());
+		String holder = holder();
 		SourceHealth health = this.sources.computeIfAbsent(holder, (key) -> new SourceHealth());
 		long settleMs = following() ? SETTLE_MS : 0;
 		if (!health.healthy(now)) {
@@ -201,6 +197,10 @@
 		}
 	}
 
+	private String holder() {
+		return this.mesh.map((peers) -> peers.holder(this.duty)).orElse(this.settings.vm());
+	}
+
 	// A VM that serves already needs no lists of its own to be passed changes.
 	private boolean serving() {
 		return !following() || this.kinds.stream().allMatch(FollowedKind::known);
@@ -251,8 +251,7 @@
 
 	@Override
 	public void onAsking(String vm, NodeBeat.Builder question) {
-		boolean followed = !following() && this.mesh.map((peers) -> peers.holder(this.duty).equals(vm)).orElse(false);
-		if (followed) {
+		if (!following() && holder().equals(vm)) {
 			question.setSubscribes(true);
 			this.kinds.forEach((kind) -> question
 				.addKnown(FeedRevision.newBuilder().setFeed(kind.feed()).setRevision(kind.revision())));
--- a/testbed/src/main/java/org/tallycart/testbed/ManagedProcess.java
+++ b/testbed/src/main/java/org/tallycart/testbed/ManagedProcess.java
@@ -50,15 +50,10 @@
 	 */
 	public static ManagedProcess start(String mainClass, Path config, Path log, List<String> jvmOptions)
 			throws IOException {
-		List<String> command = new ArrayList<>();
-		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-		command.addAll(List.of("-XX:+UseSerialGC", "-Xss512k"));
-		command.addAll(jvmOptions);
-		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass, "--config", config.toString()));
-		Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
-			.start();
-		// A testbed that is interrupted leaves no process behind.
-		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-child"));
+		List<String> options = new ArrayList<>(List.of("-XX:+UseSerialGC", "-Xss512k"));
+		options.addAll(jvmOptions);
+		Process process = launch(jvm(mainClass, List.of("--config", config.toString()), options)
+			.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile())));
 		BufferedReader out = new BufferedReader(
 				new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
 		String line = out.readLine();
@@ -83,13 +78,8 @@
 	 */
 	public static ManagedProcess start(String mainClass, List<String> arguments, Path log, List<String> jvmOptions,
 			Function<String, Map<String, Integer>> line) throws IOException {
-		List<String> command = new ArrayList<>();
-		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-		command.addAll(jvmOptions);
-		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
-		command.addAll(arguments);
-		Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
-		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-child"));
+		Process process = launch(
+				jvm(mainClass, arguments, jvmOptions).redirectErrorStream(true).redirectOutput(log.toFile()));
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(STOP_SECONDS);
 		while (process.isAlive() && System.nanoTime() < end) {
 			for (String written : Files.readAllLines(log)) {
@@ -104,6 +94,22 @@
 		throw new IOException(mainClass + " did not start; see " + log);
 	}
 
+	private static ProcessBuilder jvm(String mainClass, List<String> arguments, List<String> jvmOptions) {
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(jvmOptions);
+		command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+		command.addAll(arguments);
+		return new ProcessBuilder(command);
+	}
+
+	private static Process launch(ProcessBuilder builder) throws IOException {
+		Process process = builder.start();
+		// A testbed that is interrupted leaves no process behind.
+		Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "end-child"));
+		return process;
+	}
+
 	private static void pause() {
 		try {
 			Thread.sleep(LOG_POLL_MS);
