A workspace's level goes before the route's and no longer replaces it

A circular, a digest and a chat were one class in every queue, and one chat that waits 20 s made the expected time of all of them long, so that circulars were refused with half-empty pools. Change: RequestRank orders by workspace, then by route; engines are told both in 0 to 8.

--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -78,7 +78,7 @@
 		RequestPlan plan = new RequestPlan(request, route.get(), service, workspace, now, now + waitMs);
 		this.serving.log()
 			.request(EventCode.REQUEST_ACCEPTED, request.id(), "route", route.get().name(), "version",
-					current.version(), "service", service, "wait_ms", waitMs, "priority", plan.priority());
+					current.version(), "service", service, "wait_ms", waitMs, "rank", plan.rank().order());
 		new RequestFlow(this.serving, plan, responder).start();
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -198,7 +198,7 @@
 	private SendOptions options(UpstreamChoice choice, long left) {
 		boolean generation = this.plan.request().prompt().isPresent();
 		return new SendOptions(left, this.plan.workspace().map(Workspace::name),
-				generation ? Optional.of(this.plan.priority()) : Optional.empty(), this.inputs,
+				generation ? Optional.of(this.plan.rank().enginePriority()) : Optional.empty(), this.inputs,
 				choice.fetchFrom().map(UpstreamState::entry), this.events.lastId());
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/RequestPlan.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestPlan.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.tallycart.core.serving.CallerRequest;
+import org.tallycart.core.serving.RequestRank;
 import org.tallycart.core.serving.Route;
 import org.tallycart.core.serving.Workspace;
 
@@ -21,11 +22,11 @@
 		long arrivedMs, long endMs) {
 
 	/**
-	 * Return the request's rank; a workspace's goes before a route's.
-	 * @return the rank, 0 for the most urgent
+	 * Return how urgent the request is.
+	 * @return the rank
 	 */
-	public int priority() {
-		return this.workspace.flatMap(Workspace::priority).orElse(this.route.priority());
+	public RequestRank rank() {
+		return RequestRank.of(this.workspace, this.route);
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -65,7 +65,7 @@
 	 */
 	long expectedExcessMs(long byMs) {
 		long workMs = this.stages.longestMs((stage) -> this.serving.pieces()
-			.expectedMs(this.plan.route().stages().get(stage).service(), this.plan.priority()));
+			.expectedMs(this.plan.route().stages().get(stage).service(), this.plan.rank().order()));
 		return (workMs > 0) ? this.serving.loop().nowMs() + workMs + engineMs() - byMs : 0;
 	}
 
@@ -93,8 +93,8 @@
 			PieceId id = new PieceId(this.plan.request().id(), stage, piece);
 			this.waiting.add(id);
 			PieceJob job = new PieceJob(id, spec.service(), this.plan.request().pieceKey(), inputs, uselessFrom(stage),
-					neededBy(stage), this.plan.priority(), domain, spec.resultBytes(), this.stages.hasReaders(stage),
-					Math.max(inputBytes, resultMoved));
+					neededBy(stage), this.plan.rank().order(), domain, spec.resultBytes(),
+					this.stages.hasReaders(stage), Math.max(inputBytes, resultMoved));
 			dispatcher = this.serving.pieces().ask(job, this);
 		}
 		this.serving.log()
