A VM that stops hands its pools over at once

Calls of 3 pieces took 510 ms in place of 224, and results were made twice. Ruled out: a lost connection (VM_LOST says silent, the process ends 4 s later). Change: a dispatcher that drains begins no call and hands waiting pieces back; askers go to the next VM at once and do not wait for a beat. A link that loses its role as holder has the longer silence of a spare, so calls in progress end and are not given up.

--- a/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
@@ -176,6 +176,16 @@
 		return before ? Change.NONE : Change.FOUND;
 	}
 
+	/**
+	 * Take note that a VM has told that it is about to stop.
+	 * @param name the VM
+	 */
+	public void onDraining(String name) {
+		if (this.records.containsKey(name)) {
+			link(name).onDraining();
+		}
+	}
+
 	/**
 	 * Find the VMs that have not answered for too long; they count as lost from now on.
 	 * @param nowMs the steady clock
--- a/core/src/main/java/org/tallycart/core/fleet/PeerLink.java
+++ b/core/src/main/java/org/tallycart/core/fleet/PeerLink.java
@@ -65,6 +65,9 @@
 			this.lostAtMs = Math.min(this.lostAtMs, nowMs + HOLDER_SILENCE_MS);
 			this.askedMs = NEVER;
 		}
+		if (!asHolder && this.holder) {
+			this.lostAtMs = Math.max(this.lostAtMs, nowMs + SPARE_SILENCE_MS);
+		}
 		this.holder = asHolder;
 		if (nowMs - this.askedMs < periodMs()) {
 			return false;
@@ -93,6 +96,10 @@
 		return restarted;
 	}
 
+	void onDraining() {
+		this.draining = true;
+	}
+
 	boolean silent(long nowMs) {
 		return this.live && nowMs >= this.lostAtMs;
 	}
--- a/core/src/main/java/org/tallycart/core/pool/PieceAsker.java
+++ b/core/src/main/java/org/tallycart/core/pool/PieceAsker.java
@@ -23,4 +23,12 @@
 	default void onInputsRead(PieceId id) {
 	}
 
+	/**
+	 * Take note that the dispatcher has stopped and will not have the piece made. It has
+	 * to be asked for at another one.
+	 * @param id the piece
+	 */
+	default void onHandedBack(PieceId id) {
+	}
+
 }
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -78,6 +78,8 @@
 
 	private long lastCall;
 
+	private boolean stopped;
+
 	/**
 	 * Create a dispatcher.
 	 * @param spec what a worker can do
@@ -126,7 +128,27 @@
 		}
 		Waiting waiting = new Waiting(job, asker);
 		this.pieces.put(job.id(), waiting);
-		this.queue.add(waiting);
+		enqueue(waiting);
+	}
+
+	/**
+	 * Begin no call any more. Pieces that wait, and those that would have to be tried
+	 * again, are handed back to their askers; calls in progress end as usual.
+	 */
+	public void stop() {
+		this.stopped = true;
+		new ArrayList<>(this.queue).forEach(this::handBack);
+	}
+
+	private void handBack(Waiting waiting) {
+		this.pieces.remove(waiting.job().id());
+		this.queue.remove(waiting);
+		waiting.handBack();
+	}
+
+	/** Begin calls again, where no other dispatcher could be found. */
+	public void resume() {
+		this.stopped = false;
 	}
 
 	/**
@@ -323,7 +345,10 @@
 	}
 
 	private void enqueue(Waiting waiting) {
-		if (!this.queue.contains(waiting)) {
+		if (this.stopped) {
+			handBack(waiting);
+		}
+		else if (!this.queue.contains(waiting)) {
 			this.queue.add(waiting);
 		}
 	}
--- a/core/src/main/java/org/tallycart/core/pool/Waiting.java
+++ b/core/src/main/java/org/tallycart/core/pool/Waiting.java
@@ -43,6 +43,10 @@
 		this.asker.onInputsRead(this.job.id());
 	}
 
+	void handBack() {
+		this.asker.onHandedBack(this.job.id());
+	}
+
 	boolean inputsRead() {
 		return this.inputsRead;
 	}
--- a/core/src/test/java/org/tallycart/core/fleet/DutyTableTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/DutyTableTests.java
@@ -70,6 +70,26 @@
 		assertFalse(fleet.holders(DUTY).contains(first));
 	}
 
+	/** It is asked less often from then on, but what it still makes is not given up. */
+	@Test
+	void aHolderThatDrainsAndAnswersIsNotLost() {
+		Fleet fleet = new Fleet(12);
+		fleet.run(3_000);
+		fleet.table(fleet.holders(DUTY).iterator().next()).drain();
+		fleet.run(6_000);
+		assertEquals(fleet.lost, Set.of());
+	}
+
+	@Test
+	void aVmThatTellsThatItDrainsHoldsNothing() {
+		Fleet fleet = new Fleet(12);
+		fleet.run(3_000);
+		String first = fleet.holders(DUTY).iterator().next();
+		fleet.tables.forEach((vm, table) -> table.onDraining(first));
+		fleet.table(first).drain();
+		assertFalse(fleet.holders(DUTY).contains(first), "no beat was needed");
+	}
+
 	@DataProvider
 	Object[][] losses() {
 		return new Object[][] { { true }, { false } };
@@ -186,6 +206,8 @@
 
 		private int questions;
 
+		private final Set<String> lost = new HashSet<>();
+
 		private Fleet(int vms) {
 			for (VmRecord record : records(vms)) {
 				DutyTable table = new DutyTable(record.vm());
@@ -231,7 +253,7 @@
 					this.answered.put(vm + ">" + asked.vm(), this.nowMs);
 				}
 			}
-			table.takeSilent(this.nowMs);
+			this.lost.addAll(table.takeSilent(this.nowMs));
 		}
 
 		private Set<String> holders(Duty duty) {
--- a/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.PoolSpec;
@@ -293,6 +294,39 @@
 		assertTrue(this.dispatcher.nextCall(800).isEmpty());
 	}
 
+	/** A planned stop under load: what waits goes on elsewhere at once. */
+	@Test
+	void aDispatcherThatStopsHandsBackWhatWaitsAndEndsItsCalls() {
+		List<PieceId> back = new ArrayList<>();
+		PieceAsker asker = new PieceAsker() {
+
+			@Override
+			public void onOutcome(PieceId id, PieceOutcome outcome) {
+				PoolDispatcherTests.this.heard.put(id, outcome);
+			}
+
+			@Override
+			public void onHandedBack(PieceId id) {
+				back.add(id);
+			}
+
+		};
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.ask(job("running", 0, 9_000, "d", SMALL), asker);
+		PoolCall call = this.dispatcher.nextCall(0).orElseThrow();
+		this.dispatcher.ask(job("waiting", 0, 9_000, "d", SMALL), asker);
+		this.dispatcher.stop();
+		this.dispatcher.ask(job("asked later", 0, 9_000, "d", SMALL), asker);
+		assertEquals(back, List.of(new PieceId("waiting", 0, 0), new PieceId("asked later", 0, 0)));
+		assertTrue(this.heard.isEmpty());
+		this.dispatcher.onAnswer(call.number(), made(call), 220);
+		assertEquals(this.heard.keySet(), Set.of(new PieceId("running", 0, 0)));
+		assertEquals(this.dispatcher.waiting() + this.dispatcher.callsInProgress(), 0);
+		this.dispatcher.resume();
+		this.dispatcher.ask(job("nobody else", 0, 9_000, "d", SMALL), asker);
+		assertTrue(this.dispatcher.nextCall(300).isPresent());
+	}
+
 	@DataProvider
 	static Object[][] failures() {
 		return new Object[][] { { true }, { false } };
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -253,6 +253,7 @@
 		this.readiness.drain();
 		this.readiness.ready();
 		this.mesh.drain();
+		this.pieces.handOver();
 		callers.drain();
 		long deadline = this.loop.nowMs() + this.settings.bounds().graceMs() - BEFORE_KILL_MS;
 		this.loop.after(STILL_ACCEPTING_MS, () -> {
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -199,6 +199,14 @@
 		return this.table.live();
 	}
 
+	/**
+	 * Take note that another VM has told that it leaves.
+	 * @param vm the VM
+	 */
+	public void onDraining(String vm) {
+		this.table.onDraining(vm);
+	}
+
 	/** Tell the others, when they ask, that this VM leaves. */
 	public void drain() {
 		this.table.drain();
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -145,12 +145,13 @@
 	 */
 	public String ask(PieceJob job, PieceAsker asker) {
 		this.times.onAsked(job, this.loop.nowMs());
-		return dispatch(job, new TimedAsker(asker));
+		return dispatch(job, new TimedAsker(job, asker));
 	}
 
 	private String dispatch(PieceJob job, PieceAsker asker) {
 		String owner = dispatcher(job.service());
 		if (owner.equals(this.vm)) {
+			driver(job.service()).ifPresent(PoolDriver::resume);
 			askHere(job, asker);
 		}
 		else {
@@ -278,7 +279,8 @@
 	public void onMessage(String from, Envelope message) {
 		switch (message.getBodyCase()) {
 			case PIECE_ASKS -> message.getPieceAsks().getAsksList().forEach((ask) -> onAsk(from, ask));
-			case PIECE_ANSWERS -> message.getPieceAnswers().getAnswersList().forEach(this::onAnswer);
+			case PIECE_ANSWERS ->
+				message.getPieceAnswers().getAnswersList().forEach((answer) -> onAnswer(from, answer));
 			case PIECE_WITHDRAWALS -> message.getPieceWithdrawals().getWithdrawalsList().forEach(this::onWithdrawal);
 			case PIECE_RELEASES -> message.getPieceReleases()
 				.getReleasesList()
@@ -299,14 +301,26 @@
 		planSend();
 	}
 
-	private void onAnswer(PieceAnswer answer) {
-		if (PieceWire.isInputsRead(answer)) {
-			Outstanding waiting = this.outstanding.get(PieceWire.id(answer));
-			if (waiting != null) {
-				waiting.asker.onInputsRead(waiting.job.id());
-			}
-			return;
+	private void onAnswer(String from, PieceAnswer answer) {
+		switch (answer.getStatus()) {
+			case INPUTS_READ -> Optional.ofNullable(this.outstanding.get(PieceWire.id(answer)))
+				.ifPresent((waiting) -> waiting.asker.onInputsRead(waiting.job.id()));
+			case HANDED_BACK -> onHandedBack(from, PieceWire.id(answer));
+			default -> onOutcome(answer);
+		}
+	}
+
+	// The VM that stops is not asked again, though its beats may not have told so yet.
+	private void onHandedBack(String from, PieceId id) {
+		this.mesh.ifPresent((peers) -> peers.onDraining(from));
+		Outstanding waiting = this.outstanding.get(id);
+		if (waiting != null && waiting.owner.equals(from)) {
+			this.outstanding.remove(id);
+			dispatch(waiting.job, waiting.asker);
 		}
+	}
+
+	private void onOutcome(PieceAnswer answer) {
 		PieceOutcome outcome = PieceWire.outcome(answer);
 		Outstanding waiting = this.outstanding.remove(PieceWire.id(answer));
 		if (waiting != null) {
@@ -324,6 +338,18 @@
 		}
 	}
 
+	/**
+	 * Hand the pools over to other VMs: no call is begun here any more, and pieces that
+	 * wait are asked for at the next VM at once. To be called when this VM drains.
+	 */
+	public void handOver() {
+		this.drivers.forEach((service, driver) -> {
+			if (!dispatcher(service).equals(this.vm)) {
+				driver.stop();
+			}
+		});
+	}
+
 	@Override
 	public void onLost(String lost) {
 		for (Outstanding waiting : new ArrayList<>(this.outstanding.values())) {
@@ -353,9 +379,12 @@
 	/** Takes note of how long a piece took. */
 	private final class TimedAsker implements PieceAsker {
 
+		private final PieceJob job;
+
 		private final PieceAsker asker;
 
-		TimedAsker(PieceAsker asker) {
+		TimedAsker(PieceJob job, PieceAsker asker) {
+			this.job = job;
 			this.asker = asker;
 		}
 
@@ -370,6 +399,11 @@
 			this.asker.onInputsRead(id);
 		}
 
+		@Override
+		public void onHandedBack(PieceId id) {
+			dispatch(this.job, this);
+		}
+
 	}
 
 	/** Tells another VM what becomes of a piece that it asked for. */
@@ -388,7 +422,12 @@
 
 		@Override
 		public void onInputsRead(PieceId id) {
-			answer(this.vm, PieceWire.inputsRead(id));
+			answer(this.vm, PieceWire.notice(id, PieceAnswer.Status.INPUTS_READ));
+		}
+
+		@Override
+		public void onHandedBack(PieceId id) {
+			answer(this.vm, PieceWire.notice(id, PieceAnswer.Status.HANDED_BACK));
 		}
 
 	}
--- a/node/src/main/java/org/tallycart/node/piece/PieceWire.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceWire.java
@@ -53,20 +53,16 @@
 			.build();
 	}
 
-	// Told beside the piece's outcome, which follows.
-	static PieceAnswer inputsRead(PieceId id) {
+	// What is told of a piece that has no outcome yet.
+	static PieceAnswer notice(PieceId id, PieceAnswer.Status status) {
 		return PieceAnswer.newBuilder()
 			.setRequestId(id.requestId())
 			.setStage(id.stage())
 			.setPiece(id.piece())
-			.setStatus(PieceAnswer.Status.INPUTS_READ)
+			.setStatus(status)
 			.build();
 	}
 
-	static boolean isInputsRead(PieceAnswer answer) {
-		return answer.getStatus() == PieceAnswer.Status.INPUTS_READ;
-	}
-
 	static PieceId id(PieceAnswer answer) {
 		return new PieceId(answer.getRequestId(), answer.getStage(), answer.getPiece());
 	}
@@ -78,7 +74,7 @@
 			case LATE -> PieceOutcome.notMade(PieceOutcome.Status.LATE);
 			case INPUT_GONE -> PieceOutcome.notMade(PieceOutcome.Status.INPUT_GONE);
 			case NO_ROOM -> PieceOutcome.notMade(PieceOutcome.Status.NO_ROOM);
-			case FAILED, INPUTS_READ, UNRECOGNIZED -> PieceOutcome.notMade(PieceOutcome.Status.FAILED);
+			case FAILED, INPUTS_READ, HANDED_BACK, UNRECOGNIZED -> PieceOutcome.notMade(PieceOutcome.Status.FAILED);
 		};
 	}
 
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -91,6 +91,14 @@
 		this.dispatcher.withdraw(id);
 	}
 
+	void stop() {
+		this.dispatcher.stop();
+	}
+
+	void resume() {
+		this.dispatcher.resume();
+	}
+
 	boolean idle() {
 		return this.dispatcher.waiting() == 0 && this.dispatcher.callsInProgress() == 0;
 	}
--- a/wire/src/main/java/org/tallycart/wire/message/PieceAnswer.java
+++ b/wire/src/main/java/org/tallycart/wire/message/PieceAnswer.java
@@ -84,6 +84,14 @@
      * <code>INPUTS_READ = 5;</code>
      */
     INPUTS_READ(5),
+    /**
+     * <pre>
+     * Not an outcome: the dispatcher has stopped; the piece is to be asked for elsewhere.
+     * </pre>
+     *
+     * <code>HANDED_BACK = 6;</code>
+     */
+    HANDED_BACK(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -124,6 +132,14 @@
      * <code>INPUTS_READ = 5;</code>
      */
     public static final int INPUTS_READ_VALUE = 5;
+    /**
+     * <pre>
+     * Not an outcome: the dispatcher has stopped; the piece is to be asked for elsewhere.
+     * </pre>
+     *
+     * <code>HANDED_BACK = 6;</code>
+     */
+    public static final int HANDED_BACK_VALUE = 6;
 
 
     public final int getNumber() {
@@ -156,6 +172,7 @@
         case 3: return NO_ROOM;
         case 4: return FAILED;
         case 5: return INPUTS_READ;
+        case 6: return HANDED_BACK;
         default: return null;
       }
     }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -333,24 +333,24 @@
       "\010priority\030\t \001(\r\022\026\n\016failure_domain\030\n \001(\t\022" +
       "\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014result_bytes\030\014 \001" +
       "(\004\022\020\n\010together\030\r \001(\010\"3\n\tPieceAsks\022&\n\004ask" +
-      "s\030\001 \003(\0132\030.tallycart.wire.PieceAsk\"\333\001\n\013Pi" +
+      "s\030\001 \003(\0132\030.tallycart.wire.PieceAsk\"\354\001\n\013Pi" +
       "eceAnswer\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002" +
       " \001(\r\022\r\n\005piece\030\003 \001(\r\0222\n\006status\030\004 \001(\0162\".ta" +
       "llycart.wire.PieceAnswer.Status\022\016\n\006handl" +
-      "e\030\005 \001(\t\"V\n\006Status\022\010\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n" +
+      "e\030\005 \001(\t\"g\n\006Status\022\010\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n" +
       "\nINPUT_GONE\020\002\022\013\n\007NO_ROOM\020\003\022\n\n\006FAILED\020\004\022\017" +
-      "\n\013INPUTS_READ\020\005\"<\n\014PieceAnswers\022,\n\007answe" +
-      "rs\030\001 \003(\0132\033.tallycart.wire.PieceAnswer\"T\n" +
-      "\017PieceWithdrawal\022\017\n\007service\030\001 \001(\t\022\022\n\nreq" +
-      "uest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004 " +
-      "\001(\r\"H\n\020PieceWithdrawals\0224\n\013withdrawals\030\001" +
-      " \003(\0132\037.tallycart.wire.PieceWithdrawal\"0\n" +
-      "\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017\n\007handle" +
-      "s\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010releases\030\001 \003" +
-      "(\0132\034.tallycart.wire.PieceRelease*1\n\004Feed" +
-      "\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTREAMS\020\001\022\007\n\003VM" +
-      "S\020\002B\036\n\032org.tallycart.wire.messageP\001b\006pro" +
-      "to3"
+      "\n\013INPUTS_READ\020\005\022\017\n\013HANDED_BACK\020\006\"<\n\014Piec" +
+      "eAnswers\022,\n\007answers\030\001 \003(\0132\033.tallycart.wi" +
+      "re.PieceAnswer\"T\n\017PieceWithdrawal\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030" +
+      "\003 \001(\r\022\r\n\005piece\030\004 \001(\r\"H\n\020PieceWithdrawals" +
+      "\0224\n\013withdrawals\030\001 \003(\0132\037.tallycart.wire.P" +
+      "ieceWithdrawal\"0\n\014PieceRelease\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\017\n\007handles\030\002 \003(\t\"?\n\rPieceRelease" +
+      "s\022.\n\010releases\030\001 \003(\0132\034.tallycart.wire.Pie" +
+      "ceRelease*1\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\t" +
+      "UPSTREAMS\020\001\022\007\n\003VMS\020\002B\036\n\032org.tallycart.wi" +
+      "re.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
