Stage work has to be done before its caller leaves, not by the end of its wait

Cause: callers leave a stream that has not begun after four objectives; a chat that allows 20 s is gone after 10. Change: Route.patienceMs(); pieces are useless from then on, and requests that cannot begin by then are refused when they come.

--- a/core/src/main/java/org/tallycart/core/serving/Route.java
+++ b/core/src/main/java/org/tallycart/core/serving/Route.java
@@ -25,6 +25,31 @@
 		long timeoutMs, long objectiveMs, long gapObjectiveMs, int priority, int maxAttempts, List<StageSpec> stages,
 		boolean open, boolean resumable) {
 
+	/**
+	 * Callers wait at least this long for the first event of a stream, in milliseconds.
+	 */
+	private static final long LEAST_PATIENCE_MS = 2_000;
+
+	/** Callers wait for the first event for this many times the objective. */
+	private static final long PATIENCE_OBJECTIVES = 4;
+
+	/** Callers wait for an event for this many times the longest pause on time. */
+	private static final long PATIENCE_GAPS = 8;
+
+	/**
+	 * Return how long callers wait for an answer to begin, whatever time they allow for
+	 * the whole: they leave a stream that stands still for the longest of three times,
+	 * which the callers' protocol names.
+	 * @return milliseconds; the longest time there is where the answer is no stream
+	 */
+	public long patienceMs() {
+		if (this.kind != RequestKind.STREAMING) {
+			return Long.MAX_VALUE;
+		}
+		return Math.max(LEAST_PATIENCE_MS,
+				Math.max(this.objectiveMs * PATIENCE_OBJECTIVES, this.gapObjectiveMs * PATIENCE_GAPS));
+	}
+
 	/**
 	 * Return whether a request may run again after it may have run.
 	 * @return true for idempotent requests and for streams that can be resumed
--- a/core/src/test/java/org/tallycart/core/serving/ServingConfigTests.java
+++ b/core/src/test/java/org/tallycart/core/serving/ServingConfigTests.java
@@ -66,4 +66,20 @@
 		assertTrue(route("/", RequestKind.STREAMING, false, true).repeatable());
 	}
 
+	@DataProvider
+	static Object[][] patience() {
+		return new Object[][] { { RequestKind.STREAMING, 1_100, 200, 4_400L },
+				{ RequestKind.STREAMING, 300, 100, 2_000L }, { RequestKind.STREAMING, 300, 500, 4_000L },
+				{ RequestKind.IDEMPOTENT, 100, 0, Long.MAX_VALUE },
+				{ RequestKind.NON_IDEMPOTENT, 100, 0, Long.MAX_VALUE } };
+	}
+
+	/** A caller that allows 20 s for the whole answer is gone long before that. */
+	@Test(dataProvider = "patience")
+	void callersLeaveAStreamThatDoesNotBegin(RequestKind kind, long objectiveMs, long gapMs, long patienceMs) {
+		Route route = new Route("r", "h", "/", kind, List.of(), 20_000, objectiveMs, gapMs, 0, 1, List.of(), false,
+				false);
+		assertEquals(route.patienceMs(), patienceMs);
+	}
+
 }
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -125,7 +125,7 @@
 			}
 		});
 		this.end = this.serving.loop().after(this.plan.endMs() - ANSWER_MS - now(), this::onTimeOver);
-		long excessMs = this.stages.expectedExcessMs(this.plan.endMs());
+		long excessMs = this.stages.expectedExcessMs(this.plan.beginsByMs());
 		if (excessMs > 0) {
 			giveUp(excessMs + BUSY_RETRY_MS, "stage work is expected to be " + excessMs + " ms late");
 			return;
--- a/node/src/main/java/org/tallycart/node/request/RequestPlan.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestPlan.java
@@ -29,6 +29,14 @@
 		return RequestRank.of(this.workspace, this.route);
 	}
 
+	/**
+	 * Return when the answer has to begin, or its caller leaves.
+	 * @return a time on the steady clock
+	 */
+	public long beginsByMs() {
+		return this.arrivedMs + Math.min(this.endMs - this.arrivedMs, this.route.patienceMs());
+	}
+
 	/**
 	 * Return when an answer is still on time.
 	 * @return a time on the steady clock
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -110,7 +110,7 @@
 	// When a stage's results come too late for any answer: the stages behind it and the
 	// engine take at least this long.
 	private long uselessFrom(int stage) {
-		return this.plan.endMs() - this.stages.stagesBehind(stage) * LEAST_STAGE_MS - engineMs();
+		return this.plan.beginsByMs() - this.stages.stagesBehind(stage) * LEAST_STAGE_MS - engineMs();
 	}
 
 	private long engineMs() {
