Late work that is not begun is refused beyond one second of the pool's time

Change: each 25 ms a dispatcher gives up pieces that give way, have no inputs yet and are behind more than a second of late work; their requests are refused at once, not run.

--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -178,7 +178,7 @@
 			return Optional.empty();
 		}
 		CallChooser chooser = new CallChooser(this.spec, this.workers.values(), this.room, nowMs);
-		List<Waiting> ordered = new QueueOrder(this.spec, availableWorkers(nowMs), nowMs).of(this.queue);
+		List<Waiting> ordered = order(nowMs).of(this.queue);
 		for (PoolWorker worker : idle) {
 			List<Waiting> chosen = chooser.choose(worker, ordered);
 			if (!chosen.isEmpty()) {
@@ -188,6 +188,10 @@
 		return Optional.empty();
 	}
 
+	private QueueOrder order(long nowMs) {
+		return new QueueOrder(this.spec, availableWorkers(nowMs), nowMs);
+	}
+
 	private int availableWorkers(long nowMs) {
 		return (int) this.workers.values().stream().filter((worker) -> worker.available(nowMs)).count();
 	}
@@ -370,6 +374,7 @@
 	 */
 	public void tick(long nowMs) {
 		giveUpLate(nowMs);
+		giveUpTooMuch(nowMs);
 		noteInputsRead(nowMs);
 		for (PoolCall call : this.calls.values()) {
 			double tookMs = nowMs - call.startedMs();
@@ -395,6 +400,13 @@
 		}
 	}
 
+	// Refused now, a caller may come again when there is room; held, it would be refused
+	// in the end.
+	private void giveUpTooMuch(long nowMs) {
+		PieceOutcome late = PieceOutcome.notMade(PieceOutcome.Status.LATE);
+		order(nowMs).tooMuch(this.queue).forEach((waiting) -> settle(waiting, late));
+	}
+
 	private void giveUpLate(long nowMs) {
 		PieceOutcome late = PieceOutcome.notMade(PieceOutcome.Status.LATE);
 		double shortestMs = this.spec.expectedMs(1);
--- a/core/src/main/java/org/tallycart/core/pool/QueueOrder.java
+++ b/core/src/main/java/org/tallycart/core/pool/QueueOrder.java
@@ -31,6 +31,12 @@
 		.thenComparingInt((waiting) -> waiting.job().inputs().isEmpty() ? 1 : 0)
 		.thenComparing(BY_TIME);
 
+	/**
+	 * Late work that is kept, in milliseconds of all workers' time: it is made in the
+	 * time that is left over, which is half of a quiet pool's.
+	 */
+	private static final double MOST_LATE_WORK_MS = 1_000;
+
 	private final PoolSpec spec;
 
 	private final int workers;
@@ -44,8 +50,7 @@
 	}
 
 	List<Waiting> of(Collection<Waiting> queue) {
-		List<Waiting> byTime = new ArrayList<>(queue);
-		byTime.sort(BY_TIME);
+		List<Waiting> byTime = byTime(queue);
 		Set<Waiting> givingWay = givingWay(byTime);
 		List<Waiting> ordered = new ArrayList<>(byTime);
 		ordered.removeIf(givingWay::contains);
@@ -53,6 +58,26 @@
 		return ordered;
 	}
 
+	/**
+	 * Find the pieces that are not worth keeping: they will be late, nothing of their
+	 * request is made yet, and more late work comes before them than the pool has time
+	 * for.
+	 * @param queue what waits
+	 * @return the pieces
+	 */
+	List<Waiting> tooMuch(Collection<Waiting> queue) {
+		List<Waiting> late = givingWay(byTime(queue)).stream().sorted(BY_RANK).toList();
+		int kept = (int) (MOST_LATE_WORK_MS * this.workers * this.spec.batch()
+				/ this.spec.expectedMs(this.spec.batch()));
+		return late.stream().skip(kept).filter((waiting) -> waiting.job().inputs().isEmpty()).toList();
+	}
+
+	private static List<Waiting> byTime(Collection<Waiting> queue) {
+		List<Waiting> byTime = new ArrayList<>(queue);
+		byTime.sort(BY_TIME);
+		return byTime;
+	}
+
 	private Set<Waiting> givingWay(List<Waiting> byTime) {
 		Set<Waiting> givingWay = new HashSet<>();
 		PriorityQueue<Waiting> kept = new PriorityQueue<>(BY_RANK.reversed());
--- a/core/src/test/java/org/tallycart/core/pool/QueueOrderTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/QueueOrderTests.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Tests for the order of a pool's queue. A call of one piece takes 220 ms, a full one of
@@ -50,4 +51,29 @@
 		assertEquals(ordered, Arrays.asList(expected.split(" ")), pattern);
 	}
 
+	/** Two seconds of work are late, in a pool of one worker with 14 pieces a second. */
+	@Test
+	void beyondASecondOfLateWorkTheLeastUrgentThatIsNotBegunIsTooMuch() {
+		List<Waiting> waiting = new ArrayList<>();
+		for (int i = 0; i < 14; i++) {
+			waiting.add(late("urgent" + i, 1, List.of()));
+			waiting.add(late("other" + i, 2, List.of()));
+		}
+		waiting.add(late("begun", 2, List.of("m/1")));
+		List<String> tooMuch = new QueueOrder(SPEC, 1, 0).tooMuch(waiting)
+			.stream()
+			.map((each) -> each.job().id().requestId())
+			.toList();
+		assertEquals(tooMuch.size(), 14);
+		assertTrue(tooMuch.stream().allMatch((request) -> request.startsWith("other")), tooMuch.toString());
+		assertEquals(new QueueOrder(SPEC, 3, 0).tooMuch(waiting), List.of(), "three workers have time for it");
+	}
+
+	private static Waiting late(String request, int rank, List<String> inputs) {
+		PieceJob job = new PieceJob(new PieceId(request, 0, 0), "pool", "k", inputs, 9_000, 10, rank, "d", 8_000, false,
+				0);
+		return new Waiting(job, (id, outcome) -> {
+		});
+	}
+
 }
