Pool dispatcher and piece service in parts: workers, running calls, outbox

PoolWorkers chooses who gets the next call, RunningCalls notices calls that are overdue or have read their inputs, PieceOutbox collects what is said to other VMs within a turn. No behaviour is meant to change.

--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -1,14 +1,10 @@
 package org.tallycart.core.pool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import org.tallycart.core.outcome.InvariantViolation;
 import org.tallycart.core.serving.PoolSpec;
@@ -31,46 +27,16 @@
 	/** How long a worker without room for results gets no pieces, in milliseconds. */
 	private static final long NO_ROOM_PAUSE_MS = 60;
 
-	/** A call is overdue after this many times its expected length, plus a margin. */
-	private static final double OVERDUE_FACTOR = 1.8;
-
-	/** Margin for the network and for pieces that take longer than the average. */
-	private static final double OVERDUE_MARGIN_MS = 120;
-
-	/**
-	 * When a worker has read the inputs of a call that it began at once, in milliseconds:
-	 * the inputs of a full call cross its link in about 10 ms, and the way there and a
-	 * slow link take some more. A call takes 200 ms and longer.
-	 * <p>
-	 * Inputs that are given back then, and not at the end of the call, hold their makers'
-	 * room a quarter of a second less.
-	 */
-	private static final long INPUTS_READ_MS = 100;
-
 	/** Calls that may be tried for one piece: the first, and two more after failures. */
 	private static final int MAX_CALLS = 3;
 
-	/**
-	 * A worker this many times slower than the fastest gets no call while others are
-	 * idle.
-	 */
-	private static final double SLOW_PACE = 1.8;
-
-	/** Paces that differ by less than one part of this are taken as equal. */
-	private static final double PACE_STEPS = 2;
-
-	private final Map<String, PoolWorker> workers = new LinkedHashMap<>();
+	private final PoolWorkers workers = new PoolWorkers();
 
 	private final Map<PieceId, Waiting> pieces = new HashMap<>();
 
 	private final List<Waiting> queue = new ArrayList<>();
 
-	private final Map<Long, PoolCall> calls = new HashMap<>();
-
-	private final Set<Long> overdue = new HashSet<>();
-
-	// Calls whose inputs have to be kept for the worker, in the order of their begin.
-	private final Map<Long, PoolCall> unread = new LinkedHashMap<>();
+	private final RunningCalls calls = new RunningCalls();
 
 	private final ResultRoom room = new ResultRoom();
 
@@ -101,18 +67,7 @@
 	 * @param entries the workers
 	 */
 	public void updateWorkers(List<UpstreamEntry> entries) {
-		Set<String> present = new HashSet<>();
-		for (UpstreamEntry entry : entries) {
-			present.add(entry.id());
-			PoolWorker known = this.workers.get(entry.id());
-			if (known == null) {
-				this.workers.put(entry.id(), new PoolWorker(entry));
-			}
-			else {
-				known.update(entry);
-			}
-		}
-		this.workers.keySet().retainAll(present);
+		this.workers.update(entries);
 	}
 
 	/**
@@ -173,11 +128,11 @@
 			return Optional.empty();
 		}
 		this.room.expire(nowMs);
-		List<PoolWorker> idle = idleWorkers(nowMs);
+		List<PoolWorker> idle = this.workers.idle(this.spec, this.room, this.queue.size(), nowMs);
 		if (idle.isEmpty()) {
 			return Optional.empty();
 		}
-		CallChooser chooser = new CallChooser(this.spec, this.workers.values(), this.room, nowMs);
+		CallChooser chooser = new CallChooser(this.spec, this.workers.all(), this.room, nowMs);
 		List<Waiting> ordered = order(nowMs).of(this.queue);
 		for (PoolWorker worker : idle) {
 			List<Waiting> chosen = chooser.choose(worker, ordered);
@@ -189,36 +144,7 @@
 	}
 
 	private QueueOrder order(long nowMs) {
-		return new QueueOrder(this.spec, availableWorkers(nowMs), nowMs);
-	}
-
-	private int availableWorkers(long nowMs) {
-		return (int) this.workers.values().stream().filter((worker) -> worker.available(nowMs)).count();
-	}
-
-	private List<PoolWorker> idleWorkers(long nowMs) {
-		List<PoolWorker> idle = new ArrayList<>();
-		double fastest = this.workers.values()
-			.stream()
-			.filter((worker) -> worker.available(nowMs))
-			.mapToDouble(PoolWorker::pace)
-			.min()
-			.orElse(1);
-		for (PoolWorker worker : this.workers.values()) {
-			boolean slow = worker.pace() > fastest * SLOW_PACE && this.queue.size() <= backlogForSlow();
-			if (worker.idle(this.spec.slots(), nowMs) && !slow) {
-				idle.add(worker);
-			}
-		}
-		idle.sort(Comparator.<PoolWorker>comparingLong((worker) -> Math.round(worker.pace() * PACE_STEPS))
-			.thenComparingLong((worker) -> this.room.taken(worker.entry().id())));
-		return idle;
-	}
-
-	// A slow worker helps only where the others could not take what waits in one call
-	// each.
-	private int backlogForSlow() {
-		return this.spec.batch() * Math.max(this.workers.size() - 1, 1);
+		return new QueueOrder(this.spec, this.workers.available(nowMs), nowMs);
 	}
 
 	private PoolCall start(PoolWorker worker, List<Waiting> chosen, long nowMs) {
@@ -230,10 +156,7 @@
 		chosen.forEach(Waiting::onCall);
 		this.room.reserve(worker.entry().id(), resultBytes(jobs));
 		PoolCall call = new PoolCall(this.lastCall, worker.entry(), jobs, nowMs, expectedMs);
-		this.calls.put(call.number(), call);
-		if (worker.idleForSure() && jobs.stream().anyMatch(PieceJob::inputsHoldRoom)) {
-			this.unread.put(call.number(), call);
-		}
+		this.calls.add(call, worker.idleForSure());
 		return call;
 	}
 
@@ -251,18 +174,7 @@
 	public List<String> onAnswer(long number, List<PieceOutcome> outcomes, long nowMs) {
 		PoolCall call = end(number);
 		InvariantViolation.unless(outcomes.size() == call.jobs().size(), "a call's outcomes do not match its pieces");
-		PoolWorker worker = this.workers.get(call.worker().id());
-		if (worker != null) {
-			worker.onAnswer();
-			long worked = outcomes.stream().filter((outcome) -> outcome.status() == PieceOutcome.Status.MADE).count();
-			if (worked > 0) {
-				worker.onDone(nowMs - call.startedMs(), this.spec.expectedMs((int) worked));
-			}
-		}
-		boolean full = outcomes.stream().anyMatch((outcome) -> outcome.status() == PieceOutcome.Status.NO_ROOM);
-		if (worker != null && full) {
-			worker.onNoRoom(nowMs + NO_ROOM_PAUSE_MS);
-		}
+		this.workers.find(call.worker()).ifPresent((worker) -> learn(worker, call, outcomes, nowMs));
 		List<String> unused = new ArrayList<>();
 		for (int i = 0; i < outcomes.size(); i++) {
 			PieceJob job = call.jobs().get(i);
@@ -275,6 +187,17 @@
 		return unused;
 	}
 
+	private void learn(PoolWorker worker, PoolCall call, List<PieceOutcome> outcomes, long nowMs) {
+		worker.onAnswer();
+		long worked = outcomes.stream().filter((outcome) -> outcome.status() == PieceOutcome.Status.MADE).count();
+		if (worked > 0) {
+			worker.onDone(nowMs - call.startedMs(), this.spec.expectedMs((int) worked));
+		}
+		if (outcomes.stream().anyMatch((outcome) -> outcome.status() == PieceOutcome.Status.NO_ROOM)) {
+			worker.onNoRoom(nowMs + NO_ROOM_PAUSE_MS);
+		}
+	}
+
 	/**
 	 * Take note that results are given back to their makers.
 	 * @param handles the results
@@ -309,10 +232,7 @@
 	 */
 	public void onFailure(long number, boolean begun, long nowMs) {
 		PoolCall call = end(number);
-		PoolWorker worker = this.workers.get(call.worker().id());
-		if (worker != null) {
-			worker.onFailed(nowMs);
-		}
+		this.workers.find(call.worker()).ifPresent((worker) -> worker.onFailed(nowMs));
 		PieceOutcome failed = PieceOutcome.notMade(PieceOutcome.Status.FAILED);
 		for (PieceJob job : call.jobs()) {
 			Waiting waiting = this.pieces.get(job.id());
@@ -327,14 +247,9 @@
 	}
 
 	private PoolCall end(long number) {
-		PoolCall call = InvariantViolation.present(this.calls.remove(number), "an unknown call ended");
-		this.overdue.remove(number);
-		this.unread.remove(number);
+		PoolCall call = this.calls.end(number);
 		this.room.unreserve(call.worker().id(), resultBytes(call.jobs()));
-		PoolWorker worker = this.workers.get(call.worker().id());
-		if (worker != null) {
-			worker.onEnd();
-		}
+		this.workers.find(call.worker()).ifPresent(PoolWorker::onEnd);
 		return call;
 	}
 
@@ -348,7 +263,7 @@
 			settle(waiting, outcome);
 			return;
 		}
-		waiting.forgetFailuresIfAll(this.workers.keySet());
+		waiting.forgetFailuresIfAll(this.workers.ids());
 		enqueue(waiting);
 	}
 
@@ -375,22 +290,10 @@
 	public void tick(long nowMs) {
 		giveUpLate(nowMs);
 		giveUpTooMuch(nowMs);
-		noteInputsRead(nowMs);
-		for (PoolCall call : this.calls.values()) {
-			double tookMs = nowMs - call.startedMs();
-			if (tookMs > call.expectedMs() * OVERDUE_FACTOR + OVERDUE_MARGIN_MS && this.overdue.add(call.number())) {
-				onOverdue(call, tookMs);
-			}
-		}
-	}
-
-	private void noteInputsRead(long nowMs) {
-		for (PoolCall call : new ArrayList<>(this.unread.values())) {
-			if (nowMs - call.startedMs() >= INPUTS_READ_MS) {
-				this.unread.remove(call.number());
-				call.jobs().stream().filter(PieceJob::inputsHoldRoom).forEach(this::onInputsRead);
-			}
+		for (PoolCall call : this.calls.takeRead(nowMs)) {
+			call.jobs().stream().filter(PieceJob::inputsHoldRoom).forEach(this::onInputsRead);
 		}
+		this.calls.takeOverdue(nowMs).forEach((call) -> onOverdue(call, nowMs - call.startedMs()));
 	}
 
 	private void onInputsRead(PieceJob job) {
@@ -418,10 +321,8 @@
 	}
 
 	private void onOverdue(PoolCall call, double tookMs) {
-		PoolWorker worker = this.workers.get(call.worker().id());
-		if (worker != null) {
-			worker.onOverdue(tookMs, this.spec.expectedMs(call.jobs().size()));
-		}
+		this.workers.find(call.worker())
+			.ifPresent((worker) -> worker.onOverdue(tookMs, this.spec.expectedMs(call.jobs().size())));
 		for (PieceJob job : call.jobs()) {
 			Waiting waiting = this.pieces.get(job.id());
 			if (waiting != null && waiting.inputsRead()) {
@@ -447,7 +348,7 @@
 	 * @return the count
 	 */
 	public int callsInProgress() {
-		return this.calls.size();
+		return this.calls.count();
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/tallycart/core/pool/PoolWorkers.java
@@ -0,0 +1,92 @@
+package org.tallycart.core.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tallycart.core.serving.PoolSpec;
+import org.tallycart.core.serving.UpstreamEntry;
+
+/**
+ * The workers of a pool, and which of them gets the next call.
+ * <p>
+ * Invariant: a worker keeps what is known of it as long as it is listed. Not thread-safe:
+ * guarded by {@link PoolDispatcher}.
+ */
+final class PoolWorkers {
+
+	/**
+	 * A worker this many times slower than the fastest gets no call while others are
+	 * idle.
+	 */
+	private static final double SLOW_PACE = 1.8;
+
+	/** Paces that differ by less than one part of this are taken as equal. */
+	private static final double PACE_STEPS = 2;
+
+	private final Map<String, PoolWorker> workers = new LinkedHashMap<>();
+
+	void update(List<UpstreamEntry> entries) {
+		Set<String> present = new HashSet<>();
+		for (UpstreamEntry entry : entries) {
+			present.add(entry.id());
+			PoolWorker known = this.workers.get(entry.id());
+			if (known == null) {
+				this.workers.put(entry.id(), new PoolWorker(entry));
+			}
+			else {
+				known.update(entry);
+			}
+		}
+		this.workers.keySet().retainAll(present);
+	}
+
+	Collection<PoolWorker> all() {
+		return this.workers.values();
+	}
+
+	Set<String> ids() {
+		return this.workers.keySet();
+	}
+
+	Optional<PoolWorker> find(UpstreamEntry entry) {
+		return Optional.ofNullable(this.workers.get(entry.id()));
+	}
+
+	int available(long nowMs) {
+		return (int) this.workers.values().stream().filter((worker) -> worker.available(nowMs)).count();
+	}
+
+	// Fast workers come first, and among those the one with most room for results.
+	List<PoolWorker> idle(PoolSpec spec, ResultRoom room, int waiting, long nowMs) {
+		List<PoolWorker> idle = new ArrayList<>();
+		double fastest = this.workers.values()
+			.stream()
+			.filter((worker) -> worker.available(nowMs))
+			.mapToDouble(PoolWorker::pace)
+			.min()
+			.orElse(1);
+		for (PoolWorker worker : this.workers.values()) {
+			boolean slow = worker.pace() > fastest * SLOW_PACE && waiting <= backlogForSlow(spec);
+			if (worker.idle(spec.slots(), nowMs) && !slow) {
+				idle.add(worker);
+			}
+		}
+		idle.sort(Comparator.<PoolWorker>comparingLong((worker) -> Math.round(worker.pace() * PACE_STEPS))
+			.thenComparingLong((worker) -> room.taken(worker.entry().id())));
+		return idle;
+	}
+
+	// A slow worker helps only where the others could not take what waits in one call
+	// each.
+	private int backlogForSlow(PoolSpec spec) {
+		return spec.batch() * Math.max(this.workers.size() - 1, 1);
+	}
+
+}
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -26,13 +26,8 @@
 import org.tallycart.node.store.ConfigInForce;
 import org.tallycart.wire.message.Envelope;
 import org.tallycart.wire.message.PieceAnswer;
-import org.tallycart.wire.message.PieceAnswers;
 import org.tallycart.wire.message.PieceAsk;
-import org.tallycart.wire.message.PieceAsks;
-import org.tallycart.wire.message.PieceRelease;
-import org.tallycart.wire.message.PieceReleases;
 import org.tallycart.wire.message.PieceWithdrawal;
-import org.tallycart.wire.message.PieceWithdrawals;
 
 /**
  * Gets pieces made: here, where this VM is the pool's dispatcher, or by asking the VM
@@ -65,18 +60,10 @@
 
 	private final Map<PieceId, Outstanding> outstanding = new HashMap<>();
 
-	private final Map<String, PieceAsks.Builder> asksToSend = new HashMap<>();
-
-	private final Map<String, PieceAnswers.Builder> answersToSend = new HashMap<>();
-
-	private final Map<String, PieceWithdrawals.Builder> withdrawalsToSend = new HashMap<>();
-
-	private final Map<String, PieceReleases.Builder> releasesToSend = new HashMap<>();
+	private final PieceOutbox outbox;
 
 	private final StageTimes times = new StageTimes();
 
-	private boolean sendPlanned;
-
 	private Optional<PeerMesh> mesh = Optional.empty();
 
 	/**
@@ -100,6 +87,7 @@
 		this.directory = directory;
 		this.returns = returns;
 		this.metrics = metrics;
+		this.outbox = new PieceOutbox(loop);
 	}
 
 	/**
@@ -108,6 +96,7 @@
 	 */
 	public void start(PeerMesh peers) {
 		this.mesh = Optional.of(peers);
+		this.outbox.start(peers);
 	}
 
 	/**
@@ -156,9 +145,7 @@
 		}
 		else {
 			this.outstanding.put(job.id(), new Outstanding(job, asker, owner));
-			this.asksToSend.computeIfAbsent(owner, (key) -> PieceAsks.newBuilder())
-				.addAsks(PieceWire.encode(job, this.loop.nowMs()));
-			planSend();
+			this.outbox.ask(owner, PieceWire.encode(job, this.loop.nowMs()));
 		}
 		return owner;
 	}
@@ -211,9 +198,7 @@
 		this.times.onWithdrawn(id);
 		Outstanding remote = this.outstanding.remove(id);
 		if (remote != null) {
-			this.withdrawalsToSend.computeIfAbsent(remote.owner, (key) -> PieceWithdrawals.newBuilder())
-				.addWithdrawals(PieceWire.withdrawal(service, id));
-			planSend();
+			this.outbox.withdraw(remote.owner, PieceWire.withdrawal(service, id));
 		}
 		else if (this.drivers.containsKey(service)) {
 			this.drivers.get(service).withdraw(id);
@@ -235,9 +220,7 @@
 			releaseHere(service, handles);
 		}
 		else {
-			this.releasesToSend.computeIfAbsent(owner, (key) -> PieceReleases.newBuilder())
-				.addReleases(PieceRelease.newBuilder().setService(service).addAllHandles(handles));
-			planSend();
+			this.outbox.release(owner, service, handles);
 		}
 	}
 
@@ -251,30 +234,6 @@
 		}
 	}
 
-	private void planSend() {
-		if (!this.sendPlanned) {
-			this.sendPlanned = true;
-			this.loop.later(this::sendAll);
-		}
-	}
-
-	private void sendAll() {
-		this.sendPlanned = false;
-		this.mesh.ifPresent((peers) -> {
-			this.withdrawalsToSend
-				.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceWithdrawals(message)));
-			this.releasesToSend
-				.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceReleases(message)));
-			this.asksToSend.forEach((to, message) -> peers.send(to, Envelope.newBuilder().setPieceAsks(message)));
-			this.answersToSend
-				.forEach((to, message) -> peers.answer(to, Envelope.newBuilder().setPieceAnswers(message)));
-		});
-		this.withdrawalsToSend.clear();
-		this.releasesToSend.clear();
-		this.asksToSend.clear();
-		this.answersToSend.clear();
-	}
-
 	@Override
 	public void onMessage(String from, Envelope message) {
 		switch (message.getBodyCase()) {
@@ -296,11 +255,6 @@
 		askHere(PieceWire.decode(ask, this.loop.nowMs()), new RemoteAsker(from));
 	}
 
-	private void answer(String to, PieceAnswer answer) {
-		this.answersToSend.computeIfAbsent(to, (key) -> PieceAnswers.newBuilder()).addAnswers(answer);
-		planSend();
-	}
-
 	private void onAnswer(String from, PieceAnswer answer) {
 		switch (answer.getStatus()) {
 			case INPUTS_READ -> Optional.ofNullable(this.outstanding.get(PieceWire.id(answer)))
@@ -417,17 +371,17 @@
 
 		@Override
 		public void onOutcome(PieceId id, PieceOutcome outcome) {
-			answer(this.vm, PieceWire.encode(id, outcome));
+			PieceService.this.outbox.answer(this.vm, PieceWire.encode(id, outcome));
 		}
 
 		@Override
 		public void onInputsRead(PieceId id) {
-			answer(this.vm, PieceWire.notice(id, PieceAnswer.Status.INPUTS_READ));
+			PieceService.this.outbox.answer(this.vm, PieceWire.notice(id, PieceAnswer.Status.INPUTS_READ));
 		}
 
 		@Override
 		public void onHandedBack(PieceId id) {
-			answer(this.vm, PieceWire.notice(id, PieceAnswer.Status.HANDED_BACK));
+			PieceService.this.outbox.answer(this.vm, PieceWire.notice(id, PieceAnswer.Status.HANDED_BACK));
 		}
 
 	}
