--- a/core/src/main/java/org/tallycart/core/pool/RunningCalls.java
+++ b/core/src/main/java/org/tallycart/core/pool/RunningCalls.java
@@ -30,7 +30,8 @@
 	 * <p>
 	 * Inputs that are given back then, and not at the end of the call, hold their makers'
 	 * room a quarter of a second less. In a burst on three chained pools that needs all
-	 * that full calls give, 5 of 100 requests more are on time for it (PoolLoadTests).
+	 * that full calls give, 5 of 100 requests more are on time for it, as
+	 * {@code PoolLoadTests} shows.
 	 */
 	private static final long INPUTS_READ_MS = 100;
 
