Class comments tell who orders a pool's queue: QueueOrder, no longer CallChooser

Cause: read again, the comment of CallChooser still described the order that QueueOrder took over. Comments only; formatter, linter and the 425 tests of core passed.

--- a/core/src/main/java/org/tallycart/core/pool/CallChooser.java
+++ b/core/src/main/java/org/tallycart/core/pool/CallChooser.java
@@ -13,12 +13,11 @@
 import org.tallycart.core.serving.PoolSpec;
 
 /**
- * Chooses the pieces of one call.
+ * Chooses the pieces of one call from a queue that {@link QueueOrder} has put in order.
  * <p>
- * Order: pieces that can still be on time or whose inputs hold room first, then rank,
- * then the time they are needed by. Pieces whose results are read together are kept
- * together. A piece with much to move is made in the failure domain where it is wanted,
- * unless that makes it late. No more is chosen than the worker has room for.
+ * Pieces whose results are read together are kept together. A piece with much to move is
+ * made in the failure domain where it is wanted, unless that makes it late. No more is
+ * chosen than the worker has room for.
  * <p>
  * Not thread-safe: made for one choice.
  */
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -14,7 +14,8 @@
  * Puts the pieces of many requests into calls of one pool's workers.
  * <p>
  * A call costs a fixed time whatever it holds, so pieces wait for company, but only while
- * no worker is idle. {@link CallChooser} tells which pieces go together.
+ * no worker is idle. {@link QueueOrder} tells which come first, {@link CallChooser} which
+ * go together.
  * <p>
  * Invariants: no worker has more calls than slots; a piece is in the queue or in calls,
  * and each asker hears one outcome unless it withdraws; no draining worker gets a call.
