--- a/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Which VM holds each duty, as one VM sees it, and which VMs it has to ask whether they
@@ -262,6 +263,14 @@
 		return this.ranks.record(name);
 	}
 
+	/**
+	 * Return the VMs that are known, whether they live or not.
+	 * @return their names
+	 */
+	public Set<String> vms() {
+		return this.ranks.vms();
+	}
+
 	/**
 	 * Return how many VMs are known, whether they live or not.
 	 * @return the count; 0 while no record was read
--- a/core/src/main/java/org/tallycart/core/limit/TokenBucket.java
+++ b/core/src/main/java/org/tallycart/core/limit/TokenBucket.java
@@ -65,6 +65,16 @@
 		return true;
 	}
 
+	/**
+	 * Return whether there is a token.
+	 * @param nowMs the monotonic clock now
+	 * @return whether {@link #tryTake} would give one
+	 */
+	public boolean available(long nowMs) {
+		refill(nowMs);
+		return this.tokens >= 1;
+	}
+
 	/**
 	 * Return when the next token comes.
 	 * @return milliseconds from the last call on
--- a/core/src/main/java/org/tallycart/core/membership/RendezvousHash.java
+++ b/core/src/main/java/org/tallycart/core/membership/RendezvousHash.java
@@ -38,17 +38,31 @@
 	}
 
 	/**
-	 * Return the candidate that ranks first, by names that candidates have.
+	 * Return the candidate that ranks first, by names that candidates have. One choice
+	 * among 1,000 candidates hashes the subject alone: each candidate costs one mixing
+	 * step.
 	 * @param <T> the kind of candidate
 	 * @param subject the subject
 	 * @param candidates the candidates
 	 * @param name gives a candidate's name
 	 * @return the first, or empty if there is no candidate
 	 */
-	public static <T> Optional<T> first(String subject, Collection<T> candidates, Function<T, String> name) {
+	public static <T> Optional<T> first(String subject, Collection<T> candidates, Function<T, RankedName> name) {
 		long seed = hash(subject);
-		Comparator<String> byWeight = byWeight(seed);
-		return candidates.stream().max((one, other) -> byWeight.compare(name.apply(one), name.apply(other)));
+		Optional<T> first = Optional.empty();
+		RankedName firstName = new RankedName("", 0);
+		long firstWeight = Long.MIN_VALUE;
+		for (T candidate : candidates) {
+			RankedName candidateName = name.apply(candidate);
+			long weight = mix(seed ^ candidateName.hash());
+			boolean equal = weight == firstWeight && candidateName.name().compareTo(firstName.name()) > 0;
+			if (first.isEmpty() || weight > firstWeight || equal) {
+				first = Optional.of(candidate);
+				firstName = candidateName;
+				firstWeight = weight;
+			}
+		}
+		return first;
 	}
 
 	/**
@@ -68,7 +82,7 @@
 			.thenComparing(Comparator.naturalOrder());
 	}
 
-	private static long hash(String text) {
+	static long hash(String text) {
 		long hash = GOLDEN;
 		for (int i = 0; i < text.length(); i++) {
 			hash = mix(hash + text.charAt(i));
--- a/core/src/main/java/org/tallycart/core/pool/CallChooser.java
+++ b/core/src/main/java/org/tallycart/core/pool/CallChooser.java
@@ -70,7 +70,7 @@
 		List<Waiting> chosen = new ArrayList<>();
 		Set<Waiting> seen = new HashSet<>();
 		List<List<Waiting>> left = new ArrayList<>();
-		long roomLeft = this.spec.roomBytes() - this.room.taken(worker.entry().id());
+		long roomLeft = this.spec.roomBytes() - this.room.taken(worker.entry().incarnation());
 		this.leftToOthers.clear();
 		Map<PieceStage, List<Waiting>> groups = groups(queue);
 		for (Waiting first : queue) {
@@ -129,7 +129,7 @@
 	}
 
 	private boolean mayGo(List<Waiting> group, PoolWorker worker) {
-		return group.stream().allMatch((waiting) -> waiting.mayGoTo(worker.entry().id()))
+		return group.stream().allMatch((waiting) -> waiting.mayGoTo(worker.entry().incarnation()))
 				&& !betterElsewhere(group.get(0), worker);
 	}
 
@@ -141,7 +141,7 @@
 		}
 		Optional<PoolWorker> home = this.workers.stream()
 			.filter((other) -> other.entry().failureDomain().equals(job.failureDomain()))
-			.filter((other) -> other.available(this.nowMs) && waiting.mayGoTo(other.entry().id()))
+			.filter((other) -> other.available(this.nowMs) && waiting.mayGoTo(other.entry().incarnation()))
 			.min(Comparator.comparingLong(PoolWorker::expectedFreeMs));
 		if (home.isEmpty() || this.leftToOthers.merge(job.failureDomain(), 1, Integer::sum) > this.spec.batch()) {
 			return false;
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.tallycart.core.outcome.InvariantViolation;
 import org.tallycart.core.serving.PoolSpec;
@@ -18,8 +19,8 @@
  * go together.
  * <p>
  * Invariants: no worker has more calls than slots; a piece is in the queue or in calls,
- * and each asker hears one outcome unless it withdraws; no draining worker gets a call.
- * Not thread-safe.
+ * and each asker hears one outcome unless it withdraws; no worker gets a call that drains
+ * or whose failure domain is evacuated. Not thread-safe.
  *
  * @since 0.1
  */
@@ -66,9 +67,11 @@
 	/**
 	 * Take the workers that exist now.
 	 * @param entries the workers
+	 * @param evacuated failure domains whose workers get no calls
 	 */
-	public void updateWorkers(List<UpstreamEntry> entries) {
+	public void updateWorkers(List<UpstreamEntry> entries, Set<String> evacuated) {
 		this.workers.update(entries);
+		this.workers.close(evacuated);
 	}
 
 	/**
@@ -155,7 +158,7 @@
 		this.lastCall++;
 		List<PieceJob> jobs = chosen.stream().map(Waiting::job).toList();
 		chosen.forEach(Waiting::onCall);
-		this.room.reserve(worker.entry().id(), resultBytes(jobs));
+		this.room.reserve(worker.entry().incarnation(), resultBytes(jobs));
 		PoolCall call = new PoolCall(this.lastCall, worker.entry(), jobs, nowMs, expectedMs);
 		this.calls.add(call, worker.idleForSure());
 		return call;
@@ -180,7 +183,7 @@
 		for (int i = 0; i < outcomes.size(); i++) {
 			PieceJob job = call.jobs().get(i);
 			if (outcomes.get(i).status() == PieceOutcome.Status.MADE) {
-				this.room.hold(call.worker().id(), outcomes.get(i).handle(), job.resultBytes(),
+				this.room.hold(call.worker().incarnation(), outcomes.get(i).handle(), job.resultBytes(),
 						nowMs + this.spec.handleTtlMs());
 			}
 			onOutcome(call, job, outcomes.get(i), unused);
@@ -221,7 +224,7 @@
 				waiting.onNoCall();
 				enqueue(waiting);
 			}
-			case FAILED -> tryAgain(waiting, call.worker().id(), outcome);
+			case FAILED -> tryAgain(waiting, call.worker().incarnation(), outcome);
 		}
 	}
 
@@ -238,7 +241,7 @@
 		for (PieceJob job : call.jobs()) {
 			Waiting waiting = this.pieces.get(job.id());
 			if (waiting != null && begun) {
-				tryAgain(waiting, call.worker().id(), failed);
+				tryAgain(waiting, call.worker().incarnation(), failed);
 			}
 			else if (waiting != null) {
 				waiting.onNoCall();
@@ -249,7 +252,7 @@
 
 	private PoolCall end(long number) {
 		PoolCall call = this.calls.end(number);
-		this.room.unreserve(call.worker().id(), resultBytes(call.jobs()));
+		this.room.unreserve(call.worker().incarnation(), resultBytes(call.jobs()));
 		this.workers.find(call.worker()).ifPresent(PoolWorker::onEnd);
 		return call;
 	}
@@ -330,7 +333,7 @@
 				settle(waiting, PieceOutcome.notMade(PieceOutcome.Status.INPUT_GONE));
 			}
 			else if (waiting != null && waiting.calls() < MAX_CALLS) {
-				waiting.onFailedAt(call.worker().id());
+				waiting.onFailedAt(call.worker().incarnation());
 				enqueue(waiting);
 			}
 		}
--- a/core/src/main/java/org/tallycart/core/pool/PoolWorker.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolWorker.java
@@ -36,6 +36,8 @@
 
 	private boolean idleForSure;
 
+	private boolean closed;
+
 	PoolWorker(UpstreamEntry entry) {
 		this.entry = entry;
 	}
@@ -52,8 +54,13 @@
 		return this.running < slots && available(nowMs);
 	}
 
+	// Whether it gets no calls, although it works: its failure domain is evacuated.
+	void setClosed(boolean noCalls) {
+		this.closed = noCalls;
+	}
+
 	boolean available(long nowMs) {
-		return !this.entry.draining() && nowMs >= this.pausedUntilMs;
+		return !this.entry.draining() && !this.closed && nowMs >= this.pausedUntilMs;
 	}
 
 	// Calls take this many times as long as at a worker of ordinary speed.
--- a/core/src/main/java/org/tallycart/core/pool/PoolWorkers.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolWorkers.java
@@ -35,10 +35,10 @@
 	void update(List<UpstreamEntry> entries) {
 		Set<String> present = new HashSet<>();
 		for (UpstreamEntry entry : entries) {
-			present.add(entry.id());
-			PoolWorker known = this.workers.get(entry.id());
+			present.add(entry.incarnation());
+			PoolWorker known = this.workers.get(entry.incarnation());
 			if (known == null) {
-				this.workers.put(entry.id(), new PoolWorker(entry));
+				this.workers.put(entry.incarnation(), new PoolWorker(entry));
 			}
 			else {
 				known.update(entry);
@@ -47,6 +47,11 @@
 		this.workers.keySet().retainAll(present);
 	}
 
+	void close(Set<String> failureDomains) {
+		this.workers.values()
+			.forEach((worker) -> worker.setClosed(failureDomains.contains(worker.entry().failureDomain())));
+	}
+
 	Collection<PoolWorker> all() {
 		return this.workers.values();
 	}
@@ -56,7 +61,7 @@
 	}
 
 	Optional<PoolWorker> find(UpstreamEntry entry) {
-		return Optional.ofNullable(this.workers.get(entry.id()));
+		return Optional.ofNullable(this.workers.get(entry.incarnation()));
 	}
 
 	int available(long nowMs) {
@@ -79,7 +84,7 @@
 			}
 		}
 		idle.sort(Comparator.<PoolWorker>comparingLong((worker) -> Math.round(worker.pace() * PACE_STEPS))
-			.thenComparingLong((worker) -> room.taken(worker.entry().id())));
+			.thenComparingLong((worker) -> room.taken(worker.entry().incarnation())));
 		return idle;
 	}
 
--- a/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
+++ b/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
@@ -16,10 +16,11 @@
  * @param capacity the VM's processor time, in thousandths of a core
  * @param store the platform's store
  * @param bounds figures to be kept
+ * @param evacuations whether operators may order that nothing be sent to a failure domain
  * @since 0.1
  */
 public record NodeSettings(String vm, String ip, String failureDomain, Address callers, Address readiness, int peerPort,
-		int capacity, Address store, Bounds bounds) {
+		int capacity, Address store, Bounds bounds, boolean evacuations) {
 
 	/**
 	 * Figures that the operators of the platform set.
--- a/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
+++ b/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
@@ -43,8 +43,7 @@
 	 * @return the choice, or empty if there is no candidate
 	 */
 	public static Optional<UpstreamChoice> choose(Prompt prompt, Collection<UpstreamState> candidates, long nowMs) {
-		return RendezvousHash
-			.first(prompt.model() + "/" + prompt.session(), candidates, (candidate) -> candidate.entry().id())
+		return RendezvousHash.first(prompt.model() + "/" + prompt.session(), candidates, UpstreamState::name)
 			.map((home) -> leastWait(prompt, home, candidates, nowMs));
 	}
 
@@ -69,7 +68,7 @@
 	// read
 	// by each; an engine that holds it already copies nothing.
 	private static UpstreamState firstPartHome(Prompt prompt, Collection<UpstreamState> candidates) {
-		return RendezvousHash.first(prompt.model() + "/" + prompt.firstPart(), candidates, (c) -> c.entry().id())
+		return RendezvousHash.first(prompt.model() + "/" + prompt.firstPart(), candidates, UpstreamState::name)
 			.orElseThrow();
 	}
 
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -20,8 +20,8 @@
  * store and for a time after it, are kept for that time: their upstreams mostly live, and
  * have only failed to renew them.
  * <p>
- * Invariant: a draining or vanished upstream is no candidate. Not thread-safe: belongs to
- * one event loop.
+ * Invariant: a draining upstream, one that is gone, and one in a failure domain that the
+ * operators have evacuated are no candidates. Not thread-safe: belongs to one event loop.
  *
  * @since 0.1
  */
@@ -38,6 +38,13 @@
 
 	private final Map<String, UpstreamState> vanished = new HashMap<>();
 
+	// Made when it is asked for, and dropped with each change of the two above.
+	private final Map<String, List<UpstreamState>> byService = new HashMap<>();
+
+	private Set<String> evacuated = Set.of();
+
+	private boolean evacuationsKnown = true;
+
 	private boolean known;
 
 	private boolean outage;
@@ -54,7 +61,7 @@
 		Set<String> present = new HashSet<>();
 		for (UpstreamEntry entry : entries) {
 			present.add(entry.id());
-			put(entry);
+			put(entry, nowMs);
 		}
 		for (String id : new ArrayList<>(this.states.keySet())) {
 			if (!present.contains(id)) {
@@ -64,16 +71,59 @@
 	}
 
 	/**
-	 * Take a new or changed entry.
+	 * Take a new or changed entry. One that tells of a start before the known one is late
+	 * and changes nothing; one that tells of a later start names another incarnation, of
+	 * which nothing is known.
 	 * @param entry the entry
+	 * @param nowMs the steady clock
 	 */
-	public void put(UpstreamEntry entry) {
+	public void put(UpstreamEntry entry, long nowMs) {
+		this.byService.clear();
 		UpstreamState returned = this.vanished.remove(entry.id());
 		if (returned != null) {
 			this.states.put(entry.id(), returned);
 		}
-		UpstreamState state = this.states.computeIfAbsent(entry.id(), (id) -> new UpstreamState(entry));
-		state.update(entry);
+		UpstreamState known = this.states.get(entry.id());
+		if (known == null || entry.startedAfter(known.entry())) {
+			this.states.put(entry.id(), new UpstreamState(entry, nowMs));
+		}
+		else if (!known.entry().startedAfter(entry)) {
+			known.update(entry, nowMs);
+		}
+	}
+
+	/** Take note that it is not known yet which failure domains are evacuated. */
+	public void expectEvacuations() {
+		this.evacuationsKnown = false;
+	}
+
+	/**
+	 * Take the failure domains whose upstreams get nothing until the operators take that
+	 * back. What they work on ends as usual, and results that lie there are still read.
+	 * @param domains all of them
+	 */
+	public void evacuate(Collection<String> domains) {
+		this.evacuationsKnown = true;
+		this.evacuated = Set.copyOf(domains);
+	}
+
+	/**
+	 * Return the failure domains that are evacuated.
+	 * @return their names
+	 */
+	public Set<String> evacuated() {
+		return this.evacuated;
+	}
+
+	/**
+	 * Take note that an upstream's entry can no longer be read: it names no upstream to
+	 * use, also in an outage.
+	 * @param id its name
+	 */
+	public void discard(String id) {
+		this.byService.clear();
+		this.states.remove(id);
+		this.vanished.remove(id);
 	}
 
 	/**
@@ -82,6 +132,7 @@
 	 * @param nowMs the steady clock
 	 */
 	public void remove(String id, long nowMs) {
+		this.byService.clear();
 		UpstreamState state = this.states.remove(id);
 		if (state != null && !state.gone() && !trusted(nowMs)) {
 			this.vanished.put(id, state);
@@ -130,7 +181,8 @@
 	 * @param nowMs the steady clock
 	 */
 	public void tick(long nowMs) {
-		if (trusted(nowMs)) {
+		if (trusted(nowMs) && !this.vanished.isEmpty()) {
+			this.byService.clear();
 			this.vanished.clear();
 		}
 	}
@@ -139,32 +191,38 @@
 	 * Return the upstreams of a service that may get new work.
 	 * @param service the service
 	 * @param nowMs the steady clock
-	 * @return those that are not leaving; without those that could not be reached lately,
-	 * unless there are no others
+	 * @return those that are not leaving and not evacuated; without those that could not
+	 * be reached lately, unless there are no others
 	 */
 	public List<UpstreamState> candidates(String service, long nowMs) {
+		if (!this.evacuationsKnown) {
+			return List.of();
+		}
 		List<UpstreamState> present = all(service);
+		present.removeIf((state) -> this.evacuated.contains(state.entry().failureDomain()));
 		List<UpstreamState> usable = present.stream().filter((state) -> state.usable(nowMs)).toList();
 		return usable.isEmpty() ? present : usable;
 	}
 
 	/**
-	 * Return the upstreams of a service that are not leaving.
+	 * Return the upstreams of a service that are not leaving, the evacuated among them.
 	 * @param service the service
 	 * @return the upstreams
 	 */
 	public List<UpstreamState> all(String service) {
-		List<UpstreamState> found = new ArrayList<>();
-		for (Map<String, UpstreamState> part : List.of(this.states, this.vanished)) {
-			for (UpstreamState state : part.values()) {
-				if (state.entry().service().equals(service) && !state.gone()) {
-					found.add(state);
-				}
-			}
+		if (this.byService.isEmpty()) {
+			this.states.values().forEach(this::index);
+			this.vanished.values().forEach(this::index);
 		}
+		List<UpstreamState> found = new ArrayList<>(this.byService.getOrDefault(service, List.of()));
+		found.removeIf(UpstreamState::gone);
 		return found;
 	}
 
+	private void index(UpstreamState state) {
+		this.byService.computeIfAbsent(state.entry().service(), (key) -> new ArrayList<>()).add(state);
+	}
+
 	/**
 	 * Find an upstream by its address. One that is listed goes before one whose entry has
 	 * vanished and may come back, since addresses are used again.
@@ -178,11 +236,11 @@
 	}
 
 	/**
-	 * Return whether the list was read at least once.
+	 * Return whether the list, and what is evacuated, was read at least once.
 	 * @return true if it was
 	 */
 	public boolean known() {
-		return this.known;
+		return this.known && this.evacuationsKnown;
 	}
 
 	/**
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
+import org.tallycart.core.membership.RankedName;
 import org.tallycart.core.serving.LoadReport;
 import org.tallycart.core.serving.UpstreamEntry;
 
@@ -52,8 +53,14 @@
 
 	private long reportedAtMs;
 
-	UpstreamState(UpstreamEntry entry) {
+	private final RankedName name;
+
+	private long warmFromMs;
+
+	UpstreamState(UpstreamEntry entry, long nowMs) {
 		this.entry = entry;
+		this.name = RankedName.of(entry.id());
+		this.warmFromMs = nowMs + entry.coldMs();
 	}
 
 	/**
@@ -64,10 +71,38 @@
 		return this.entry;
 	}
 
-	void update(UpstreamEntry fresh) {
+	// An entry that says the same as before is no news of how long the upstream stays
+	// cold.
+	void update(UpstreamEntry fresh, long nowMs) {
+		if (fresh.coldMs() != this.entry.coldMs()) {
+			this.warmFromMs = nowMs + fresh.coldMs();
+		}
 		this.entry = fresh;
 	}
 
+	RankedName name() {
+		return this.name;
+	}
+
+	/**
+	 * Return for how much longer the upstream stays cold.
+	 * @param nowMs the steady clock
+	 * @return milliseconds; 0 if it is warm
+	 */
+	public long coldMs(long nowMs) {
+		return Math.max(this.warmFromMs - nowMs, 0);
+	}
+
+	/**
+	 * Return whether the upstream is cold: it bears few requests for some seconds after
+	 * its start.
+	 * @param nowMs the steady clock
+	 * @return true if it is
+	 */
+	public boolean cold(long nowMs) {
+		return nowMs < this.warmFromMs;
+	}
+
 	/** Take note that the upstream itself announced that it leaves. */
 	public void onLeaving() {
 		this.leaving = true;
--- a/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
@@ -42,7 +42,7 @@
 	}
 
 	private static UpstreamEntry worker(String id, String domain, boolean draining) {
-		return new UpstreamEntry(id, "pool", new Address("10.0.0.1", 1), domain, 1, draining);
+		return UpstreamEntry.of(id, "pool").at(new Address("10.0.0.1", 1), domain).draining(draining).build();
 	}
 
 	private static PieceJob job(String request, int priority, long objectiveMs, String domain, long bytes) {
@@ -64,7 +64,7 @@
 
 	@Test
 	void piecesOfManyRequestsShareACall() {
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		for (int i = 0; i < 6; i++) {
 			ask(job("r" + i, 0, 3_000 + i, "d", SMALL));
 		}
@@ -82,7 +82,7 @@
 
 	@Test
 	void lateWorkWhoseInputsHoldRoomIsEndedBeforeNewWorkOfItsRank() {
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		ask(job("new", 1, 40, "d", SMALL));
 		ask(PieceJob.of(new PieceId("begun", 2, 0), "pool")
 			.from("", List.of("m/1"))
@@ -96,7 +96,7 @@
 
 	@Test
 	void aLargeResultIsMadeWhereItIsWanted() {
-		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)), Set.of());
 		ask(job("large", 0, 5_000, "d2", LARGE));
 		ask(job("small", 0, 5_000, "d2", SMALL));
 		Map<String, List<String>> byWorker = new HashMap<>();
@@ -109,7 +109,7 @@
 
 	@Test
 	void aPieceWithoutRoomWaitsForRoomUntilItIsTooLate() {
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		ask(job("r", 0, 3_000, "d", LARGE));
 		long now = 0;
 		for (int i = 0; i < 10; i++) {
@@ -127,7 +127,7 @@
 	@Test
 	void noMoreIsAskedOfAWorkerThanItHasRoomFor() {
 		this.dispatcher = new PoolDispatcher(new PoolSpec(1, 2, 4, 200, 20, 2 * LARGE, 4_000));
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		for (int i = 0; i < 5; i++) {
 			ask(job("r" + i, 0, 9_000, "d", LARGE));
 		}
@@ -144,7 +144,7 @@
 
 	@Test
 	void piecesWhoseResultsAreReadTogetherStayTogether() {
-		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)), Set.of());
 		for (int i = 0; i < 3; i++) {
 			ask(together("a", i));
 			ask(together("b", i));
@@ -168,7 +168,7 @@
 	@Test(dataProvider = "groupsAndCalls")
 	void groupsThatLeaveMuchOfACallEmptyFillItWhileMuchWaits(int group, int batch) {
 		this.dispatcher = new PoolDispatcher(new PoolSpec(1, 2, batch, 200, 20, 10_000_000, 4_000));
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		askGroups(20, group);
 		int asked = 20 * group;
 		long now = 0;
@@ -186,7 +186,7 @@
 	@Test
 	void groupsThatFillMostOfACallStayWholeThoughMuchWaits() {
 		this.dispatcher = new PoolDispatcher(new PoolSpec(1, 2, 14, 200, 12.6, 10_000_000, 4_000));
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		askGroups(20, 6);
 		assertEquals(this.dispatcher.nextCall(0).orElseThrow().jobs().size(), 12);
 	}
@@ -194,8 +194,8 @@
 	@Test
 	void groupsStayWholeWhileIdleWorkersCanTakeAllThatWaits() {
 		this.dispatcher = new PoolDispatcher(new PoolSpec(1, 2, 10, 200, 17, 10_000_000, 4_000));
-		this.dispatcher
-			.updateWorkers(List.of(worker("w1", "d", false), worker("w2", "d", false), worker("w3", "d", false)));
+		this.dispatcher.updateWorkers(
+				List.of(worker("w1", "d", false), worker("w2", "d", false), worker("w3", "d", false)), Set.of());
 		askGroups(3, 6);
 		for (int i = 0; i < 3; i++) {
 			List<String> requests = requests(this.dispatcher.nextCall(0));
@@ -207,7 +207,7 @@
 	@Test
 	void aGroupThatFillsMoreThanAWorkersRoomIsMadeInParts() {
 		this.dispatcher = new PoolDispatcher(new PoolSpec(1, 2, 4, 200, 20, 6 * SMALL, 4_000));
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		askGroups(1, 7);
 		assertEquals(this.dispatcher.nextCall(0).orElseThrow().jobs().size(), 4);
 	}
@@ -222,7 +222,7 @@
 
 	@Test
 	void aLargeResultThatWouldBeLateIsMadeElsewhere() {
-		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w1", "d1", false), worker("w2", "d2", false)), Set.of());
 		ask(job("busy", 0, 5_000, "d2", LARGE));
 		this.dispatcher.nextCall(0);
 		ask(job("urgent", 0, 700, "d2", LARGE));
@@ -231,10 +231,10 @@
 
 	@Test
 	void aDrainingWorkerGetsNoCall() {
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", true)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", true)), Set.of());
 		ask(job("r", 0, 3_000, "d", SMALL));
 		assertTrue(this.dispatcher.nextCall(0).isEmpty());
-		this.dispatcher.updateWorkers(List.of(worker("w2", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w2", "d", false)), Set.of());
 		assertEquals(this.dispatcher.nextCall(0).orElseThrow().worker().id(), "w2");
 	}
 
@@ -250,7 +250,7 @@
 
 	@Test
 	void aPieceThatIsUselessWhenItIsAskedForIsNotMadeByAnIdleWorker() {
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		ask(job("r", 0, 0, "d", SMALL));
 		assertTrue(this.dispatcher.nextCall(4_900).isEmpty());
 		assertEquals(this.heard.get(new PieceId("r", 0, 0)).status(), PieceOutcome.Status.LATE);
@@ -258,10 +258,10 @@
 
 	@Test
 	void anOverdueCallsPiecesAreMadeElsewhereAndTheLateResultIsUnused() {
-		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false)), Set.of());
 		ask(job("r", 0, 9_000, "d", SMALL));
 		PoolCall slow = this.dispatcher.nextCall(0).orElseThrow();
-		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false), worker("fast", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false), worker("fast", "d", false)), Set.of());
 		this.dispatcher.tick(400);
 		assertTrue(this.dispatcher.nextCall(400).isEmpty(), "not overdue yet");
 		this.dispatcher.tick(600);
@@ -274,7 +274,7 @@
 
 	@Test
 	void aSlowWorkerGetsNoCallWhileTheOthersCanTakeWhatWaits() {
-		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false), worker("fast", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("slow", "d", false), worker("fast", "d", false)), Set.of());
 		ask(job("a", 0, 9_000, "d", SMALL));
 		PoolCall first = this.dispatcher.nextCall(0).orElseThrow();
 		this.dispatcher.onAnswer(first.number(), made(first), 2_000);
@@ -313,7 +313,7 @@
 	@Test
 	void inputsAreReadLongBeforeACallEndsIfItsWorkerWasIdle() {
 		List<PieceId> read = new ArrayList<>();
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		askForNotes(reader("first"), read);
 		PoolCall first = this.dispatcher.nextCall(0).orElseThrow();
 		this.dispatcher.tick(150);
@@ -338,13 +338,13 @@
 	 */
 	@Test(dataProvider = "endsOfCalls")
 	void aPieceWhoseInputsWereReadIsNotTriedElsewhere(String end) {
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		askForNotes(reader("first"), new ArrayList<>());
 		PoolCall first = this.dispatcher.nextCall(0).orElseThrow();
 		this.dispatcher.onAnswer(first.number(), made(first), 220);
 		askForNotes(reader("second"), new ArrayList<>());
 		PoolCall second = this.dispatcher.nextCall(220).orElseThrow();
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false), worker("other", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false), worker("other", "d", false)), Set.of());
 		this.dispatcher.tick(320);
 		if (end.equals("broken")) {
 			this.dispatcher.onFailure(second.number(), true, 340);
@@ -373,7 +373,7 @@
 			}
 
 		};
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		this.dispatcher.ask(job("running", 0, 9_000, "d", SMALL), asker);
 		PoolCall call = this.dispatcher.nextCall(0).orElseThrow();
 		this.dispatcher.ask(job("waiting", 0, 9_000, "d", SMALL), asker);
@@ -396,7 +396,7 @@
 
 	@Test(dataProvider = "failures")
 	void aFailedCallsPiecesGoToAnotherWorker(boolean begun) {
-		this.dispatcher.updateWorkers(List.of(worker("w1", "d", false), worker("w2", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w1", "d", false), worker("w2", "d", false)), Set.of());
 		ask(job("r", 0, 9_000, "d", SMALL));
 		PoolCall first = this.dispatcher.nextCall(0).orElseThrow();
 		this.dispatcher.onFailure(first.number(), begun, 10);
@@ -408,7 +408,7 @@
 	void aWithdrawnPieceIsNotMade() {
 		ask(job("r", 0, 9_000, "d", SMALL));
 		this.dispatcher.withdraw(new PieceId("r", 0, 0));
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		assertTrue(this.dispatcher.nextCall(0).isEmpty());
 	}
 
@@ -418,7 +418,7 @@
 		PieceJob job = job("r", 0, 9_000, "d", SMALL);
 		this.dispatcher.ask(job, (id, outcome) -> askers.add("first"));
 		this.dispatcher.ask(job, (id, outcome) -> askers.add("second"));
-		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)));
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", false)), Set.of());
 		PoolCall call = this.dispatcher.nextCall(0).orElseThrow();
 		assertEquals(call.jobs().size(), 1);
 		this.dispatcher.onAnswer(call.number(), made(call), 220);
@@ -453,7 +453,7 @@
 			}
 			if (random.nextInt(100) == 0) {
 				this.dispatcher.updateWorkers(List.of(worker("w" + random.nextInt(3), "d0", false),
-						worker("x" + random.nextInt(3), "d1", random.nextInt(5) == 0)));
+						worker("x" + random.nextInt(3), "d1", random.nextInt(5) == 0)), Set.of());
 			}
 			this.dispatcher.tick(now);
 			Optional<PoolCall> call = this.dispatcher.nextCall(now);
--- /dev/null
+++ b/core/src/test/java/org/tallycart/core/pool/PoolWorkerChangesTests.java
@@ -0,0 +1,101 @@
+package org.tallycart.core.pool;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.tallycart.core.ini.Address;
+import org.tallycart.core.serving.PoolSpec;
+import org.tallycart.core.serving.UpstreamEntry;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests for a pool whose workers restart, or are evacuated, while it has work.
+ */
+public class PoolWorkerChangesTests {
+
+	private static final PieceAsker NOBODY = (id, outcome) -> {
+		// Nothing is asked of the outcome here.
+	};
+
+	private static final PoolSpec SPEC = new PoolSpec(1, 2, 4, 200, 10, 1_000_000, 4_000);
+
+	private PoolDispatcher dispatcher = new PoolDispatcher(SPEC);
+
+	@BeforeMethod
+	void begin() {
+		this.dispatcher = new PoolDispatcher(SPEC);
+	}
+
+	private static UpstreamEntry worker(String id, String domain, long startedMs) {
+		return UpstreamEntry.of(id, "pool")
+			.started(OptionalLong.of(startedMs))
+			.at(new Address("10.0.0.1", 1), domain)
+			.build();
+	}
+
+	private void ask(String request, long resultBytes) {
+		this.dispatcher.ask(PieceJob.of(new PieceId(request, 0, 0), "pool")
+			.from("key", List.of())
+			.needed(5_000, 9_000)
+			.result(resultBytes, false)
+			.build(), NOBODY);
+	}
+
+	/** Pattern: a failure domain is emptied in a call's time and taken back in it. */
+	@Test
+	void anEvacuatedWorkerGetsNoCallAndKeepsTheOneItHas() {
+		List<UpstreamEntry> workers = List.of(worker("near", "d1", 1), worker("far", "d2", 1));
+		this.dispatcher.updateWorkers(workers, Set.of());
+		ask("r1", 0);
+		PoolCall running = this.dispatcher.nextCall(0).orElseThrow();
+		String domain = running.worker().failureDomain();
+		this.dispatcher.updateWorkers(workers, Set.of(domain));
+		ask("r2", 0);
+		ask("r3", 0);
+		PoolCall other = this.dispatcher.nextCall(10).orElseThrow();
+		assertTrue(!other.worker().failureDomain().equals(domain), "evacuated");
+		ask("r4", 0);
+		assertTrue(this.dispatcher.nextCall(20).isEmpty());
+		this.dispatcher.updateWorkers(workers, Set.of());
+		assertTrue(this.dispatcher.nextCall(30).isEmpty(), "both still have their calls");
+		this.dispatcher.onAnswer(running.number(), List.of(PieceOutcome.made("h1")), 210);
+		assertEquals(this.dispatcher.nextCall(210).orElseThrow().worker(), running.worker());
+	}
+
+	/**
+	 * Pattern: a failure domain is emptied while pieces wait and its workers are idle.
+	 */
+	@Test
+	void anIdleWorkerThatIsEvacuatedGetsNoCallUntilThatIsTakenBack() {
+		List<UpstreamEntry> workers = List.of(worker("near", "d1", 1), worker("far", "d2", 1));
+		this.dispatcher.updateWorkers(workers, Set.of("d1", "d2"));
+		ask("r1", 0);
+		assertTrue(this.dispatcher.nextCall(0).isEmpty());
+		this.dispatcher.updateWorkers(workers, Set.of("d1"));
+		assertEquals(this.dispatcher.nextCall(10).orElseThrow().worker().failureDomain(), "d2");
+		ask("r2", 0);
+		assertTrue(this.dispatcher.nextCall(20).isEmpty());
+		this.dispatcher.updateWorkers(workers, Set.of());
+		assertEquals(this.dispatcher.nextCall(30).orElseThrow().worker().failureDomain(), "d1");
+	}
+
+	/** Pattern: a worker full of results restarts under the name that it had. */
+	@Test
+	void aWorkerThatRestartedHasAllItsRoomAndItsFormerCallsAreNotCounted() {
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", 1)), Set.of());
+		ask("r1", 1_000_000);
+		PoolCall lost = this.dispatcher.nextCall(0).orElseThrow();
+		this.dispatcher.updateWorkers(List.of(worker("w", "d", 2)), Set.of());
+		ask("r2", 1_000_000);
+		PoolCall fresh = this.dispatcher.nextCall(10).orElseThrow();
+		assertEquals(fresh.worker().startedMs().getAsLong(), 2);
+		this.dispatcher.onFailure(lost.number(), true, 20);
+		assertTrue(this.dispatcher.nextCall(30).isEmpty(), "the new one is busy with its own call");
+	}
+
+}
--- a/core/src/test/java/org/tallycart/core/pool/model/PoolModel.java
+++ b/core/src/test/java/org/tallycart/core/pool/model/PoolModel.java
@@ -204,10 +204,10 @@
 			List<UpstreamEntry> entries = new ArrayList<>();
 			for (int i = 0; i < domains.length; i++) {
 				String id = name + "-" + i;
-				entries.add(new UpstreamEntry(id, name, new Address("10.0.0.1", 1 + i), domains[i], 1, false));
+				entries.add(UpstreamEntry.of(id, name).at(new Address("10.0.0.1", 1 + i), domains[i]).build());
 				this.workers.put(id, new Worker(spec));
 			}
-			this.dispatcher.updateWorkers(entries);
+			this.dispatcher.updateWorkers(entries, Set.of());
 		}
 
 		PoolDispatcher dispatcher() {
--- a/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
@@ -33,8 +33,11 @@
 	void begin() {
 		this.engines.clear();
 		for (int i = 0; i < 8; i++) {
-			this.engines.add(new UpstreamState(
-					new UpstreamEntry("e" + i, "s", new Address("10.0.0.1", i), "d" + i % 4, 128, false)));
+			UpstreamEntry entry = UpstreamEntry.of("e" + i, "s")
+				.at(new Address("10.0.0.1", i), "d" + i % 4)
+				.slots(128)
+				.build();
+			this.engines.add(new UpstreamState(entry, 0));
 		}
 	}
 
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -1,6 +1,8 @@
 package org.tallycart.core.upstream;
 
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
 
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.UpstreamEntry;
@@ -9,6 +11,8 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotSame;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -25,7 +29,11 @@
 	}
 
 	private static UpstreamEntry entry(String id, boolean draining) {
-		return new UpstreamEntry(id, "s", new Address("10.0.0.1", id.charAt(0)), "d", 4, draining);
+		return UpstreamEntry.of(id, "s")
+			.at(new Address("10.0.0.1", id.charAt(0)), "d")
+			.slots(4)
+			.draining(draining)
+			.build();
 	}
 
 	private List<String> candidates(long nowMs) {
@@ -34,7 +42,7 @@
 
 	@Test
 	void drainingAndRemovedUpstreamsAreNoCandidates() {
-		this.directory.put(entry("a", true));
+		this.directory.put(entry("a", true), 50);
 		assertEquals(candidates(0), List.of("b"));
 		this.directory.remove("b", 0);
 		assertEquals(candidates(0), List.of());
@@ -77,7 +85,7 @@
 		this.directory.onStoreLost();
 		this.directory.remove("a", 100);
 		assertEquals(this.directory.at(entry("a", false).address()).orElseThrow().entry().id(), "a");
-		this.directory.put(new UpstreamEntry("next", "s", entry("a", false).address(), "d", 4, false));
+		this.directory.put(UpstreamEntry.of("next", "s").at(entry("a", false).address(), "d").build(), 200);
 		assertEquals(this.directory.at(entry("a", false).address()).orElseThrow().entry().id(), "next");
 	}
 
@@ -86,14 +94,14 @@
 		this.directory.onStoreLost();
 		this.directory.remove("a", 100);
 		this.directory.onStoreBack(1_000);
-		this.directory.put(entry("a", false));
+		this.directory.put(entry("a", false), 1_000);
 		this.directory.tick(9_000);
 		assertEquals(candidates(9_000), List.of("a", "b"));
 	}
 
 	@Test
 	void aDrainingUpstreamThatVanishesInAnOutageIsGone() {
-		this.directory.put(entry("a", true));
+		this.directory.put(entry("a", true), 50);
 		this.directory.onStoreLost();
 		this.directory.remove("a", 100);
 		assertEquals(candidates(100), List.of("b"));
@@ -112,4 +120,85 @@
 		assertEquals(candidates(1_500), List.of("b"));
 	}
 
+	private static UpstreamEntry started(long unixMs) {
+		return UpstreamEntry.of("a", "s")
+			.started(OptionalLong.of(unixMs))
+			.at(new Address("10.0.0.1", 'a'), "d")
+			.slots(4)
+			.build();
+	}
+
+	private UpstreamState state(String id) {
+		return this.directory.all("s")
+			.stream()
+			.filter((state) -> state.entry().id().equals(id))
+			.findFirst()
+			.orElseThrow();
+	}
+
+	@Test
+	void aRestartUnderTheSameNameIsAnotherIncarnation() {
+		this.directory.put(started(1_000), 10);
+		UpstreamState former = state("a");
+		former.onUnreachable(20);
+		former.onLeaving();
+		this.directory.put(started(2_000), 30);
+		assertNotSame(state("a"), former);
+		assertEquals(state("a").errorRate(), 0.0);
+		assertEquals(candidates(30), List.of("a", "b"), "that the former one leaves says nothing of this one");
+	}
+
+	@Test
+	void anEntryFromBeforeARestartComesLateAndChangesNothing() {
+		this.directory.put(started(2_000), 10);
+		UpstreamState present = state("a");
+		this.directory.put(started(1_000), 20);
+		assertSame(state("a"), present);
+		assertEquals(present.entry().startedMs().getAsLong(), 2_000);
+	}
+
+	/** Pattern: a bad entry written over a good one, while the store comes and goes. */
+	@Test
+	void anUpstreamWhoseEntryTurnedUnreadableIsNotUsedInAnOutageEither() {
+		this.directory.onStoreLost();
+		this.directory.discard("a");
+		assertEquals(candidates(100), List.of("b"));
+		this.directory.remove("b", 200);
+		this.directory.discard("b");
+		assertEquals(candidates(300), List.of(), "kept as vanished until then");
+	}
+
+	/** Pattern: a failure domain is emptied and taken back. */
+	@Test
+	void upstreamsOfAnEvacuatedFailureDomainGetNothingUntilItIsTakenBack() {
+		this.directory.put(UpstreamEntry.of("far", "s").at(new Address("10.0.0.2", 1), "other").build(), 0);
+		this.directory.evacuate(Set.of("d"));
+		assertEquals(candidates(0), List.of("far"));
+		this.directory.evacuate(Set.of("d", "other"));
+		assertEquals(candidates(0), List.of(), "not even where no other is left");
+		this.directory.evacuate(Set.of());
+		assertEquals(candidates(0), List.of("a", "b", "far"));
+	}
+
+	@Test
+	void nothingIsSentBeforeItIsKnownWhatIsEvacuated() {
+		this.directory.expectEvacuations();
+		assertFalse(this.directory.known());
+		assertEquals(candidates(0), List.of());
+		this.directory.evacuate(Set.of());
+		assertTrue(this.directory.known());
+		assertEquals(candidates(0), List.of("a", "b"));
+	}
+
+	@Test
+	void anUpstreamIsColdForAsLongAsItsEntrySaysAndMayTurnColdAgain() {
+		this.directory.put(UpstreamEntry.of("a", "s").cold(3_000).build(), 1_000);
+		assertTrue(state("a").cold(3_900));
+		this.directory.put(UpstreamEntry.of("a", "s").cold(3_000).build(), 3_500);
+		assertFalse(state("a").cold(4_100), "an entry that is read again is no news");
+		this.directory.put(UpstreamEntry.of("a", "s").cold(0).build(), 4_100);
+		this.directory.put(UpstreamEntry.of("a", "s").cold(2_500).build(), 5_000);
+		assertEquals(state("a").coldMs(5_500), 2_000);
+	}
+
 }
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -13,8 +13,10 @@
 import org.tallycart.core.fleet.Duty;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.NodeSettings;
+import org.tallycart.core.serving.ServiceSpec;
 import org.tallycart.core.serving.ServingConfig;
 import org.tallycart.core.time.HybridClock;
+import org.tallycart.core.upstream.ColdLimit;
 import org.tallycart.core.upstream.UpstreamDirectory;
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.http.event.HttpServer;
@@ -29,6 +31,7 @@
 import org.tallycart.node.request.RetryBudgets;
 import org.tallycart.node.request.Serving;
 import org.tallycart.node.store.ConfigInForce;
+import org.tallycart.node.store.Known;
 import org.tallycart.node.store.StoreLink;
 import org.tallycart.platform.store.ObjectClient;
 import org.tallycart.runtime.event.EventCode;
@@ -90,6 +93,8 @@
 
 	private final RetryBudgets budgets;
 
+	private final ColdLimit cold;
+
 	private final CallerHandler callerHandler;
 
 	private final WireTransport transport;
@@ -110,12 +115,13 @@
 				returns, this.metrics);
 		ObjectClient objects = new ObjectClient(this.http, this.loop.executor(), settings.store(),
 				this.metrics::onStoreCall);
-		this.store = new StoreLink(settings, objects, this.loop, this.log, this.config, this.directory, this::onChange,
-				this::wantDuties);
+		Known known = new Known(this.config, this.directory, this.metrics);
+		this.store = new StoreLink(settings, objects, this.loop, this.log, known, this::onChange, this::wantDuties);
 		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log, this.pieces, this.store);
 		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this::vmsSharingBudgets);
+		this.cold = new ColdLimit(settings.vm(), this.mesh::vms, this::coldPerSecond);
 		Serving serving = new Serving(settings.failureDomain(), this.loop, this.log, this.http, this.directory,
-				this.pieces, this.budgets, this.metrics);
+				this.cold, this.pieces, this.budgets, this.metrics);
 		this.callerHandler = new CallerHandler(serving, this.config);
 	}
 
@@ -147,6 +153,13 @@
 		return (known > 0) ? known : Integer.MAX_VALUE;
 	}
 
+	private double coldPerSecond(String service) {
+		return this.config.current()
+			.flatMap((current) -> current.service(service))
+			.map(ServiceSpec::coldPerSecond)
+			.orElse(0.0);
+	}
+
 	private void onChange() {
 		wantDuties();
 		this.pieces.onChange();
@@ -200,6 +213,7 @@
 		this.metrics.gauge("pieces.outstanding", this.pieces::outstanding);
 		this.metrics.gauge("store.missed", () -> this.store.missed() ? 1 : 0);
 		this.metrics.gauge("upstreams", () -> this.directory.ids().size());
+		this.metrics.gauge("evacuated_domains", () -> this.directory.evacuated().size());
 		this.metrics.gauge("store.following", () -> this.store.following() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
@@ -215,6 +229,7 @@
 
 	private void housekeeping() {
 		this.directory.tick(this.loop.nowMs());
+		this.cold.tick(this.loop.nowMs());
 		this.http.closeStale();
 		this.readiness.ready();
 	}
--- a/node/src/main/java/org/tallycart/node/SelfTest.java
+++ b/node/src/main/java/org/tallycart/node/SelfTest.java
@@ -48,7 +48,7 @@
 	static List<String> run() throws InterruptedException {
 		SelfTest test = new SelfTest();
 		NodeSettings settings = new NodeSettings("self-test", LOOPBACK, "self-test", ANY_PORT, ANY_PORT, 0, 0, NO_STORE,
-				new NodeSettings.Bounds(TIMEOUT_MS, 0, TIMEOUT_MS, 0));
+				new NodeSettings.Bounds(TIMEOUT_MS, 0, TIMEOUT_MS, 0), true);
 		Either<String, Node> node = Node.start(settings, 0);
 		node.peek(test::ask).peekLeft(test.failures::add);
 		Thread.sleep(SETTLE_MS);
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import org.tallycart.platform.store.EntryProblem;
 import org.tallycart.platform.store.StoreCall;
 
 /**
@@ -77,6 +78,14 @@
 		this.registry.counter("store.calls." + kind.name().toLowerCase(Locale.ROOT)).inc();
 	}
 
+	/**
+	 * Count an entry of the list of upstreams that names none to use.
+	 * @param problem why
+	 */
+	public void onUnreadableEntry(EntryProblem problem) {
+		this.registry.counter("upstreams.unreadable." + problem.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
 	/**
 	 * Record a call of a stage pool.
 	 * @param pieces how many pieces it held
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.tallycart.core.fleet.Duty;
 import org.tallycart.core.fleet.DutyTable;
@@ -200,6 +201,14 @@
 		return this.table.known();
 	}
 
+	/**
+	 * Return the VMs that are known to exist or to have existed, this one among them.
+	 * @return their names
+	 */
+	public Set<String> vms() {
+		return this.table.vms();
+	}
+
 	/**
 	 * Return how many VMs that this one asks are live.
 	 * @return the count
--- a/node/src/main/java/org/tallycart/node/piece/HandleReturns.java
+++ b/node/src/main/java/org/tallycart/node/piece/HandleReturns.java
@@ -89,7 +89,7 @@
 			return;
 		}
 		HttpExchange exchange = HttpExchange
-			.to(present.get().entry().id(), maker, PieceCodec.freeHead(present.get().entry()))
+			.to(present.get().entry().incarnation(), maker, PieceCodec.freeHead(present.get().entry()))
 			.body(PieceCodec.freeBody(handles))
 			.build();
 		WholeReplyCall.start(this.http, this.loop.executor(), exchange, TIMEOUT_MS, (outcome) -> {
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
@@ -68,9 +69,9 @@
 		this.dispatcher = new PoolDispatcher(spec);
 	}
 
-	void update(PoolSpec spec, List<UpstreamEntry> workers) {
+	void update(PoolSpec spec, List<UpstreamEntry> workers, Set<String> evacuated) {
 		this.dispatcher.updateSpec(spec);
-		this.dispatcher.updateWorkers(workers);
+		this.dispatcher.updateWorkers(workers, evacuated);
 		planPump();
 	}
 
@@ -136,7 +137,7 @@
 		this.log.event(EventCode.POOL_CALL_MADE, "service", this.service, "worker", worker.id(), "call", call.number(),
 				"pieces", call.jobs().size(), "waiting", this.dispatcher.waiting(), "expected_ms",
 				Math.round(call.expectedMs()), "requests", requests(call));
-		HttpExchange exchange = HttpExchange.to(worker.id(), worker.address(), PieceCodec.runHead(worker))
+		HttpExchange exchange = HttpExchange.to(worker.incarnation(), worker.address(), PieceCodec.runHead(worker))
 			.body(PieceCodec.runBody(call.jobs(), call.startedMs()))
 			.connectTimeoutMs(CONNECT_TIMEOUT_MS)
 			.build();
--- a/node/src/main/java/org/tallycart/node/piece/PoolDrivers.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDrivers.java
@@ -64,7 +64,7 @@
 
 	private PoolDriver make(String service, PoolSpec spec) {
 		PoolDriver fresh = new PoolDriver(service, spec, this.http, this.loop, this.log, this.returns, this.metrics);
-		fresh.update(spec, workers(service));
+		update(fresh, service, spec);
 		this.loop.every(PoolDriver.TICK_MS, fresh::tick);
 		this.drivers.put(service, fresh);
 		return fresh;
@@ -74,14 +74,21 @@
 		return this.config.current().flatMap((current) -> current.service(service)).flatMap(ServiceSpec::pool);
 	}
 
+	// None before it is known which failure domains are evacuated.
 	private List<UpstreamEntry> workers(String service) {
+		if (!this.directory.known()) {
+			return List.of();
+		}
 		return this.directory.all(service).stream().map((state) -> state.entry()).toList();
 	}
 
 	// The configuration or the list of upstreams has changed.
 	void onChange() {
-		this.drivers
-			.forEach((service, driver) -> spec(service).ifPresent((spec) -> driver.update(spec, workers(service))));
+		this.drivers.forEach((service, driver) -> spec(service).ifPresent((spec) -> update(driver, service, spec)));
+	}
+
+	private void update(PoolDriver driver, String service, PoolSpec spec) {
+		driver.update(spec, workers(service), this.directory.evacuated());
 	}
 
 	// Does something with a pool that this VM makes calls of, and nothing else.
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -71,7 +71,7 @@
 	void send(SendOptions options) {
 		this.upstream.onSend(this.readMs);
 		HttpExchange exchange = HttpExchange
-			.to(this.upstream.entry().id(), this.upstream.entry().address(),
+			.to(this.upstream.entry().incarnation(), this.upstream.entry().address(),
 					UpstreamCodec.encode(this.plan.request(), this.upstream.entry(), options))
 			.body(this.plan.request().body())
 			.connectTimeoutMs(CONNECT_TIMEOUT_MS)
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -159,7 +159,7 @@
 		Optional<UpstreamChoice> choice = choose();
 		long left = this.plan.endMs() - now();
 		if (choice.isEmpty() || left < LEAST_SEND_MS) {
-			giveUp(choice.isEmpty() ? "no upstream" : "no time left");
+			giveUpUnsent(choice.isEmpty());
 			return;
 		}
 		UpstreamState upstream = choice.get().upstream();
@@ -171,21 +171,41 @@
 		}
 		this.serving.log()
 			.request(EventCode.UPSTREAM_CHOSEN, this.plan.request().id(), "upstream", upstream.entry().id(), "domain",
-					upstream.entry().failureDomain(), "send", this.sends, "in_flight", upstream.inFlight(),
-					"error_rate", upstream.errorRate(), "left_ms", left, "session", session(), "fetch_from",
-					choice.get().fetchFrom().map((from) -> from.entry().id()).orElse("none"));
+					upstream.entry().failureDomain(), "cold_ms", upstream.coldMs(now()), "send", this.sends,
+					"in_flight", upstream.inFlight(), "error_rate", upstream.errorRate(), "left_ms", left, "session",
+					session(), "fetch_from", choice.get().fetchFrom().map((from) -> from.entry().id()).orElse("none"));
+		this.serving.cold().onSend(upstream, now());
 		Attempt fresh = new Attempt(this.serving, this.plan, choice.get(), this);
 		this.attempt = fresh;
 		limitSilence(fresh);
 		fresh.send(options(choice.get(), left));
 	}
 
+	private void giveUpUnsent(boolean noUpstream) {
+		if (!noUpstream) {
+			giveUp("no time left");
+			return;
+		}
+		long warmInMs = this.serving.directory()
+			.candidates(this.plan.service(), now())
+			.stream()
+			.mapToLong((state) -> state.coldMs(now()))
+			.min()
+			.orElse(0);
+		if (warmInMs > 0) {
+			giveUp(Math.max(warmInMs, UNREACHABLE_RETRY_MS), "its upstreams are cold");
+		}
+		else {
+			giveUp("no upstream");
+		}
+	}
+
 	private String session() {
 		return this.plan.request().prompt().map(Prompt::session).orElse("none");
 	}
 
 	private Optional<UpstreamChoice> choose() {
-		List<UpstreamState> candidates = this.serving.directory().candidates(this.plan.service(), now());
+		List<UpstreamState> candidates = this.serving.candidates(this.plan.service());
 		List<UpstreamState> fresh = new ArrayList<>(candidates);
 		fresh.removeIf((state) -> this.tried.contains(state.entry().id()));
 		List<UpstreamState> from = fresh.isEmpty() ? candidates : fresh;
--- a/node/src/main/java/org/tallycart/node/request/Serving.java
+++ b/node/src/main/java/org/tallycart/node/request/Serving.java
@@ -1,6 +1,10 @@
 package org.tallycart.node.request;
 
+import java.util.List;
+
+import org.tallycart.core.upstream.ColdLimit;
 import org.tallycart.core.upstream.UpstreamDirectory;
+import org.tallycart.core.upstream.UpstreamState;
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
@@ -15,11 +19,23 @@
  * @param log where decisions are written
  * @param http calls upstreams
  * @param directory the upstreams
+ * @param cold limits what cold upstreams get
  * @param pieces gets stage work made
  * @param budgets limits repeats
  * @param metrics what is counted
  * @since 0.1
  */
 public record Serving(String failureDomain, Loop loop, NodeLog log, HttpClient http, UpstreamDirectory directory,
-		PieceService pieces, RetryBudgets budgets, NodeMetrics metrics) {
+		ColdLimit cold, PieceService pieces, RetryBudgets budgets, NodeMetrics metrics) {
+
+	/**
+	 * Return the upstreams of a service to which this VM may send a request now.
+	 * @param service the service
+	 * @return the upstreams; empty if there is none
+	 */
+	List<UpstreamState> candidates(String service) {
+		long now = this.loop.nowMs();
+		return this.cold.admit(this.directory.candidates(service, now), now);
+	}
+
 }
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -146,8 +146,7 @@
 		long now = this.serving.loop().nowMs();
 		return this.plan.request()
 			.prompt()
-			.flatMap((prompt) -> EngineChooser.choose(prompt,
-					this.serving.directory().candidates(this.plan.service(), now), now))
+			.flatMap((prompt) -> EngineChooser.choose(prompt, this.serving.candidates(this.plan.service()), now))
 			.map((choice) -> choice.upstream().entry().failureDomain())
 			.orElse(this.serving.failureDomain());
 	}
--- /dev/null
+++ b/node/src/main/java/org/tallycart/node/store/Known.java
@@ -0,0 +1,15 @@
+package org.tallycart.node.store;
+
+import org.tallycart.core.upstream.UpstreamDirectory;
+import org.tallycart.node.metrics.NodeMetrics;
+
+/**
+ * What the store's objects become part of in this process.
+ *
+ * @param config the configuration in force
+ * @param directory the upstreams
+ * @param metrics what is counted
+ * @since 0.1
+ */
+public record Known(ConfigInForce config, UpstreamDirectory directory, NodeMetrics metrics) {
+}
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -1,5 +1,6 @@
 package org.tallycart.node.store;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.tallycart.node.peer.BeatListener;
 import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.platform.store.ConfigDecoder;
+import org.tallycart.platform.store.Evacuations;
 import org.tallycart.platform.store.FeedListener;
 import org.tallycart.platform.store.ObjectClient;
 import org.tallycart.platform.store.ObjectFeed;
@@ -97,13 +99,12 @@
 	 * @param client makes the calls
 	 * @param loop the event loop
 	 * @param log where changes are written
-	 * @param config takes configurations
-	 * @param directory takes upstreams
-	 * @param onChange runs after each change of either
+	 * @param known takes what is learned
+	 * @param onChange runs after each change of it
 	 * @param onDuties runs after each change of the duties that matter to this VM
 	 */
-	public StoreLink(NodeSettings settings, ObjectClient client, Loop loop, NodeLog log, ConfigInForce config,
-			UpstreamDirectory directory, Runnable onChange, Runnable onDuties) {
+	public StoreLink(NodeSettings settings, ObjectClient client, Loop loop, NodeLog log, Known known, Runnable onChange,
+			Runnable onDuties) {
 		this.settings = settings;
 		this.chooser = new SourceChooser(settings.vm(), settings.failureDomain());
 		this.duties = List.of(Duty.follow(settings.failureDomain()));
@@ -111,13 +112,22 @@
 		this.loop = loop;
 		this.log = log;
 		this.records = new VmRecords(client);
-		FollowedKind configuration = kind(Feed.CONFIGURATION, new ConfigSink(config, log, onChange),
-				(listener) -> watch(client, ConfigDecoder.KIND, listener));
-		FollowedKind upstreams = kind(Feed.UPSTREAMS, new UpstreamSink(directory, loop, log, onChange),
-				(listener) -> watch(client, UpstreamDecoder.KIND, listener));
 		this.vms = kind(Feed.VMS, new RecordSink(log, this::onRecords), (listener) -> new ObjectFeed(client,
 				loop.executor(), VmRecords.KIND, OptionalLong.of(RECORDS_MS), listener));
-		this.kinds = List.of(configuration, upstreams, this.vms);
+		this.kinds = new ArrayList<>();
+		UpstreamDirectory directory = known.directory();
+		follow(client, Feed.CONFIGURATION, ConfigDecoder.KIND, new ConfigSink(known.config(), log, onChange));
+		follow(client, Feed.UPSTREAMS, UpstreamDecoder.KIND,
+				new UpstreamSink(directory, loop, log, known.metrics(), onChange));
+		if (settings.evacuations()) {
+			directory.expectEvacuations();
+			follow(client, Feed.EVACUATIONS, Evacuations.KIND, new EvacuationSink(directory, log, onChange));
+		}
+		this.kinds.add(this.vms);
+	}
+
+	private void follow(ObjectClient client, Feed feed, String kind, ObjectSink sink) {
+		this.kinds.add(kind(feed, sink, (listener) -> watch(client, kind, listener)));
 	}
 
 	private ObjectFeed watch(ObjectClient client, String kind, FeedListener listener) {
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -1,16 +1,20 @@
 package org.tallycart.node.store;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
+import org.jspecify.annotations.Nullable;
 import org.tallycart.core.serving.UpstreamEntry;
 import org.tallycart.core.upstream.UpstreamDirectory;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.metrics.NodeMetrics;
+import org.tallycart.platform.store.EntryProblem;
 import org.tallycart.platform.store.ObjectChange;
 import org.tallycart.platform.store.StoredObject;
 import org.tallycart.platform.store.UpstreamDecoder;
@@ -19,7 +23,8 @@
 /**
  * Keeps the directory of upstreams up to date.
  * <p>
- * Not thread-safe: belongs to the event loop.
+ * Invariant: an entry that cannot be read leaves no upstream in use, and does not touch
+ * the others. Not thread-safe: belongs to the event loop.
  */
 final class UpstreamSink implements ObjectSink {
 
@@ -35,23 +40,35 @@
 
 	private final NodeLog log;
 
+	private final NodeMetrics metrics;
+
 	private final Runnable onChange;
 
-	UpstreamSink(UpstreamDirectory directory, Loop loop, NodeLog log, Runnable onChange) {
+	// Entries that name no upstream to use, and why.
+	private final Map<String, EntryProblem> unreadable = new HashMap<>();
+
+	UpstreamSink(UpstreamDirectory directory, Loop loop, NodeLog log, NodeMetrics metrics, Runnable onChange) {
 		this.directory = directory;
 		this.loop = loop;
 		this.log = log;
+		this.metrics = metrics;
 		this.onChange = onChange;
 	}
 
 	@Override
 	public void onAll(List<StoredObject> objects) {
+		Map<String, EntryProblem> former = Map.copyOf(this.unreadable);
+		this.unreadable.clear();
 		List<UpstreamEntry> entries = new ArrayList<>();
 		for (StoredObject object : objects) {
-			UpstreamDecoder.decode(object).peek(entries::add).peekLeft((reason) -> unlisted(object, reason));
+			UpstreamDecoder.decode(object)
+				.peek(entries::add)
+				.peekLeft((problem) -> this.unreadable.put(object.name(), problem));
 		}
 		Set<String> before = this.directory.ids();
+		this.unreadable.keySet().forEach(this.directory::discard);
 		this.directory.replace(entries, this.loop.nowMs());
+		this.unreadable.forEach((name, problem) -> tellUnreadable(name, former.get(name), problem));
 		listed(entries.stream().filter((entry) -> !before.contains(entry.id())).toList());
 		this.onChange.run();
 	}
@@ -65,14 +82,27 @@
 	private void take(ObjectChange change) {
 		StoredObject object = change.object();
 		if (change.gone()) {
-			unlisted(object, "removed");
+			this.unreadable.remove(object.name());
+			this.log.event(EventCode.UPSTREAM_UNLISTED, "upstream", object.name());
 			this.directory.remove(object.name(), this.loop.nowMs());
 			return;
 		}
 		UpstreamDecoder.decode(object).peek((entry) -> {
+			this.unreadable.remove(entry.id());
 			listed(entry);
-			this.directory.put(entry);
-		}).peekLeft((reason) -> unlisted(object, reason));
+			this.directory.put(entry, this.loop.nowMs());
+		}).peekLeft((problem) -> {
+			this.directory.discard(object.name());
+			tellUnreadable(object.name(), this.unreadable.put(object.name(), problem), problem);
+		});
+	}
+
+	// An entry that is read again and is as bad as before gets no line of its own.
+	private void tellUnreadable(String name, @Nullable EntryProblem before, EntryProblem problem) {
+		if (before != problem) {
+			this.metrics.onUnreadableEntry(problem);
+			this.log.event(EventCode.UPSTREAM_UNREADABLE, "upstream", name, "reason", problem);
+		}
 	}
 
 	private void listed(List<UpstreamEntry> fresh) {
@@ -88,11 +118,8 @@
 
 	private void listed(UpstreamEntry entry) {
 		this.log.event(EventCode.UPSTREAM_LISTED, "upstream", entry.id(), "service", entry.service(), "address",
-				entry.address(), "domain", entry.failureDomain(), "draining", entry.draining());
-	}
-
-	private void unlisted(StoredObject object, String reason) {
-		this.log.event(EventCode.UPSTREAM_UNLISTED, "upstream", object.name(), "reason", reason);
+				entry.address(), "domain", entry.failureDomain(), "draining", entry.draining(), "cold_ms",
+				entry.coldMs(), "started", entry.startedMs().isPresent() ? entry.startedMs().getAsLong() : "untold");
 	}
 
 	@Override
--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -95,15 +95,19 @@
 	}
 
 	void addUpstream(String service, String id) {
+		addUpstream(service, id, "d");
+	}
+
+	void addUpstream(String service, String id, String domain) {
 		UpstreamStandin upstream = UpstreamStandin.start(id, this.group);
 		this.upstreams.put(id, upstream);
-		this.store.put("servers", id, upstream.entry(service, "d", "ready"));
+		this.store.put("servers", id, upstream.entry(service, domain, "ready"));
 	}
 
 	NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
 		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, this.store.address(),
-				new NodeSettings.Bounds(4_000, 0.2, 10_000, 50));
+				new NodeSettings.Bounds(4_000, 0.2, 10_000, 50), true);
 	}
 
 	static void await(BooleanSupplier condition) {
@@ -123,6 +127,10 @@
 		}
 	}
 
+	static String metrics(Node node) {
+		return exchange(node.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	}
+
 	static boolean ready(Node node) {
 		return exchange(node.readinessPort(), "GET /v1/readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 			.startsWith("HTTP/1.1 200");
--- a/node/src/test/java/org/tallycart/node/StoreFollowingTests.java
+++ b/node/src/test/java/org/tallycart/node/StoreFollowingTests.java
@@ -32,10 +32,6 @@
 		return metrics(node).contains("\nstore_following 1.0");
 	}
 
-	private static String metrics(Node node) {
-		return exchange(node.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-	}
-
 	private void change(int version, String path) {
 		this.store.put(KIND, "main", String.format(CONFIG, version).replace("/plain/", path));
 	}
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -149,6 +149,12 @@
 	/** Many upstreams are listed. */
 	UPSTREAMS_LISTED(6027, Level.INFO,
 			"The list of upstreams has many new entries; the detail holds how many of each service."),
+	/** An entry of the list of upstreams is unreadable. */
+	UPSTREAM_UNREADABLE(6028, Level.WARN,
+			"An entry of the list of upstreams names no upstream to use; the detail holds why."),
+	/** The evacuated failure domains changed. */
+	EVACUATION_CHANGED(6029, Level.INFO,
+			"The operators' orders to send nothing to a failure domain have changed; the detail holds those in force."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
--- a/wire/src/main/java/org/tallycart/wire/message/Feed.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Feed.java
@@ -27,6 +27,14 @@
    * <code>VMS = 2;</code>
    */
   VMS(2),
+  /**
+   * <pre>
+   * Failure domains to which the operators let nothing be sent.
+   * </pre>
+   *
+   * <code>EVACUATIONS = 3;</code>
+   */
+  EVACUATIONS(3),
   UNRECOGNIZED(-1),
   ;
 
@@ -51,6 +59,14 @@
    * <code>VMS = 2;</code>
    */
   public static final int VMS_VALUE = 2;
+  /**
+   * <pre>
+   * Failure domains to which the operators let nothing be sent.
+   * </pre>
+   *
+   * <code>EVACUATIONS = 3;</code>
+   */
+  public static final int EVACUATIONS_VALUE = 3;
 
 
   public final int getNumber() {
@@ -80,6 +96,7 @@
       case 0: return CONFIGURATION;
       case 1: return UPSTREAMS;
       case 2: return VMS;
+      case 3: return EVACUATIONS;
       default: return null;
     }
   }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -348,9 +348,9 @@
       "Withdrawal\"0\n\014PieceRelease\022\017\n\007service\030\001 " +
       "\001(\t\022\017\n\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n" +
       "\010releases\030\001 \003(\0132\034.tallycart.wire.PieceRe" +
-      "lease*1\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPST" +
-      "REAMS\020\001\022\007\n\003VMS\020\002B\036\n\032org.tallycart.wire.m" +
-      "essageP\001b\006proto3"
+      "lease*B\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPST" +
+      "REAMS\020\001\022\007\n\003VMS\020\002\022\017\n\013EVACUATIONS\020\003B\036\n\032org" +
+      ".tallycart.wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
