A VM asks whether the store answers before it begins to read it

Change: it asks by a stale list (a tenth of a call's price) until that is answered, and reads then. Entries that vanish while it asked in vain are kept, as after an outage that it saw itself. Ruled out: one feed that retries for all kinds (every VM would still list).

Result, fleets in virtual time: six seconds without the store 1,250 -> at most 210 calls at 95 VMs, 3,941 -> at most 620 at 300; a change is known within a second of the store's return, and in time if the reader is lost meanwhile. SourceChooserTests: five rows fail without the question.

--- a/core/src/main/java/org/tallycart/core/fleet/SourceChooser.java
+++ b/core/src/main/java/org/tallycart/core/fleet/SourceChooser.java
@@ -12,7 +12,10 @@
  * One VM of all reads the store. One VM of each failure domain is told by it and passes
  * on what it hears to the others of its failure domain. Who cannot be told by the VM that
  * should, reads the store itself, so a change is in force within two seconds although the
- * path to the reader, or the reader's to the store, was cut without a notice.
+ * path to the reader, or the reader's to the store, was cut without a notice. Before it
+ * does, it asks by the cheapest call whether the store answers: where the store is away
+ * for all, nobody reads it in vain. Six seconds without the store cost 95 VMs at most 210
+ * calls, and 1,250 where each begins to read.
  * <p>
  * At a start, only the first of a failure domain goes to the store at once; the others
  * wait for it, the longer the lower they rank. {@code SourceChooserTests} counts at most
@@ -47,6 +50,12 @@
 	 */
 	private static final long GRACE_MS = 300;
 
+	/**
+	 * Time between two questions whether the store answers, in milliseconds, of a VM that
+	 * would read it: that it is back is known in time for its changes.
+	 */
+	private static final long ASK_MS = 400;
+
 	/**
 	 * How long another VM has to be fit before a VM that reads the store follows it, in
 	 * milliseconds: the store's changes have reached it by then.
@@ -98,6 +107,10 @@
 
 	private long unfitSinceMs = NEVER;
 
+	private long askedMs = NEVER;
+
+	private long answeredMs = NEVER;
+
 	private boolean followed;
 
 	/**
@@ -134,6 +147,14 @@
 		this.contactMs = Math.max(this.contactMs, askedMs);
 	}
 
+	/**
+	 * Take note that the store has answered this VM's question, see {@link Step#ASK}.
+	 * @param sentMs when it was asked, on the steady clock
+	 */
+	public void onStoreAnswered(long sentMs) {
+		this.answeredMs = Math.max(this.answeredMs, sentMs);
+	}
+
 	/**
 	 * Take what a VM says of itself.
 	 * @param name the VM
@@ -207,10 +228,35 @@
 		if (reading() || nowMs < readFromMs(view, asHolder, othersKnown, nowMs)) {
 			return Step.STAY;
 		}
+		if (!storeAnswers()) {
+			return askIfDue(nowMs);
+		}
 		this.source = this.vm;
 		return Step.READ;
 	}
 
+	// At a start, that the record was written shows that the store answers.
+	private boolean storeAnswers() {
+		boolean recorded = this.source.isEmpty() && this.recordedMs != NEVER;
+		return recorded || this.answeredMs >= this.unfitSinceMs;
+	}
+
+	private Step askIfDue(long nowMs) {
+		if (nowMs - this.askedMs < ASK_MS) {
+			return Step.STAY;
+		}
+		this.askedMs = nowMs;
+		return Step.ASK;
+	}
+
+	/**
+	 * Return whether this VM knows what the store says from where it should.
+	 * @return false while neither its source nor the store tells it
+	 */
+	public boolean told() {
+		return this.unfitSinceMs == NEVER;
+	}
+
 	private Step followIfSettled(String wanted, boolean serving, long mostAgeMs, long nowMs) {
 		long settleMs = reading() ? SETTLE_MS : 0;
 		boolean settled = health(wanted).fitForMs(mostAgeMs, nowMs) >= settleMs && (serving || !reading());
@@ -283,6 +329,10 @@
 
 		/** All stays as it is. */
 		STAY,
+		/**
+		 * Ask by the cheapest call whether the store answers; review again if it does.
+		 */
+		ASK,
 		/** Read the store from now on. */
 		READ,
 		/** Be told by another VM from now on. */
--- a/core/src/test/java/org/tallycart/core/fleet/ReadingFleet.java
+++ b/core/src/test/java/org/tallycart/core/fleet/ReadingFleet.java
@@ -33,6 +33,9 @@
 	/** What a VM that begins to read calls: lists in pages, and two watches. */
 	private static final double BEGIN_CALLS = 6;
 
+	/** What a question costs whether the store answers. */
+	private static final double ASK_CALLS = 0.1;
+
 	/** Calls that read a second of everything: two watches, a list, probes. */
 	private static final double READ_CALLS_PER_S = 2 / 1.5 + 0.1 + 0.25;
 
@@ -217,12 +220,23 @@
 			this.chooser.onFollowed(followers() > 0);
 			this.table.want(this.chooser.duties(this.table, now));
 			SourceChooser.Step step = this.chooser.review(this.table, this.known > 0, this.recordsKnown, now);
+			if (step == SourceChooser.Step.ASK) {
+				ask(now);
+			}
 			if (step == SourceChooser.Step.READ) {
 				ReadingFleet.this.calls += BEGIN_CALLS;
 				this.answeredFromMs = now + FIRST_ANSWER_MS;
 			}
 		}
 
+		private void ask(long now) {
+			ReadingFleet.this.calls += ASK_CALLS;
+			if (answered()) {
+				this.chooser.onStoreAnswered(now);
+				review(now);
+			}
+		}
+
 		private void read(long now) {
 			ReadingFleet.this.calls += READ_CALLS_PER_S * STEP_MS / 1_000;
 			if (answered() && now >= this.answeredFromMs) {
--- a/core/src/test/java/org/tallycart/core/fleet/SourceChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/SourceChooserTests.java
@@ -104,6 +104,37 @@
 		assertTrue(calls <= 100, calls + " calls");
 	}
 
+	/**
+	 * Pattern: the store is away for six seconds and then answers again, with a change.
+	 */
+	@Test(dataProvider = "sizes")
+	void anOutageSendsNobodyButTheReaderToTheStore(int vms, int domains) {
+		ReadingFleet fleet = settled(vms, domains, 1);
+		fleet.cut.addAll(fleet.vms.keySet());
+		fleet.run(6_000);
+		double calls = fleet.takeCalls();
+		double most = 20 + 2 * vms;
+		assertTrue(calls <= most, calls + " calls, for " + most + " at most");
+		fleet.change();
+		fleet.cut.clear();
+		assertTrue(fleet.msUntilAllKnow(IN_FORCE_MS) <= 1_000, "after its return");
+		fleet.run(5_000);
+		assertEquals(fleet.reading(), 1);
+	}
+
+	/** Pattern: the reader is lost while the store is away. */
+	@Test
+	void aReaderThatIsLostInAnOutageIsReplacedWhenTheStoreIsBack() {
+		ReadingFleet fleet = settled(VMS, DOMAINS, 1);
+		fleet.cut.addAll(fleet.vms.keySet());
+		fleet.run(2_000);
+		fleet.down.add(fleet.reader());
+		fleet.run(2_000);
+		fleet.change();
+		fleet.cut.clear();
+		assertTrue(fleet.msUntilAllKnow(IN_FORCE_MS) <= IN_FORCE_MS);
+	}
+
 	/**
 	 * As in a rolling restart, in which each VM stops before its callers have noticed.
 	 */
--- a/node/src/main/java/org/tallycart/node/store/FollowedKind.java
+++ b/node/src/main/java/org/tallycart/node/store/FollowedKind.java
@@ -133,6 +133,16 @@
 		this.sink.onStoreLost();
 	}
 
+	// The store gave this VM no answer, though it does not follow it.
+	void onSilent() {
+		this.sink.onStoreLost();
+	}
+
+	// The VM that passes on what the store says does so again.
+	void onTold() {
+		this.sink.onStoreReached();
+	}
+
 	@Override
 	public void onReached() {
 		if (this.lost) {
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -91,6 +91,8 @@
 
 	private boolean missed;
 
+	private boolean askedInVain;
+
 	private long probedMs;
 
 	/**
@@ -187,6 +189,7 @@
 		boolean serving = this.kinds.stream().allMatch(FollowedKind::known);
 		SourceChooser.Step step = this.chooser.review(view, serving, this.vms.known(), now);
 		switch (step) {
+			case ASK -> this.records.probe((answered) -> onAsked(answered, now));
 			case READ -> {
 				this.log.event(EventCode.STORE_FOLLOWED, "by", this.chooser.source(), "unfit",
 						this.chooser.wanted(view, now));
@@ -203,6 +206,22 @@
 		if (following()) {
 			probeIfDue(now);
 		}
+		if (this.askedInVain && this.chooser.told()) {
+			this.askedInVain = false;
+			this.kinds.forEach(FollowedKind::onTold);
+		}
+	}
+
+	// Entries that vanish while nobody tells this VM what the store says are not trusted.
+	private void onAsked(boolean answered, long sentMs) {
+		if (answered) {
+			this.chooser.onStoreAnswered(sentMs);
+			review();
+		}
+		else if (!following()) {
+			this.askedInVain = true;
+			this.kinds.forEach(FollowedKind::onSilent);
+		}
 	}
 
 	private void updateDuties(List<Duty> fresh) {
