After an outage VMs wait for the reader before they read the store themselves

The fleet test counted calls only while the store was away.

Ruled out: waiting in every case (a VM whose source was cut off alone would know a change after two seconds). Change: a VM that was not answered for a while waits 1.5 s for its source, unless it is the first in rank.

--- a/core/src/main/java/org/tallycart/core/fleet/SourceChooser.java
+++ b/core/src/main/java/org/tallycart/core/fleet/SourceChooser.java
@@ -56,6 +56,13 @@
 	 */
 	private static final long ASK_MS = 400;
 
+	/**
+	 * How long a VM that was not answered for a while waits for its source once it is, in
+	 * milliseconds: the reader finds the store again within its own period, and what it
+	 * reads is passed on twice. The platform gives four seconds to be in touch again.
+	 */
+	private static final long AFTER_OUTAGE_MS = 1_500;
+
 	/**
 	 * How long another VM has to be fit before a VM that reads the store follows it, in
 	 * milliseconds: the store's changes have reached it by then.
@@ -111,6 +118,8 @@
 
 	private long answeredMs = NEVER;
 
+	private boolean unanswered;
+
 	private boolean followed;
 
 	/**
@@ -155,6 +164,11 @@
 		this.answeredMs = Math.max(this.answeredMs, sentMs);
 	}
 
+	/** Take note that the store has not answered this VM's question. */
+	public void onStoreSilent() {
+		this.unanswered = true;
+	}
+
 	/**
 	 * Take what a VM says of itself.
 	 * @param name the VM
@@ -220,6 +234,7 @@
 		long mostAgeMs = asHolder ? MOST_READER_AGE_MS : MOST_RELAY_AGE_MS;
 		if (!wanted.equals(this.vm) && health(wanted).fit(mostAgeMs, nowMs)) {
 			this.unfitSinceMs = NEVER;
+			this.unanswered = false;
 			return followIfSettled(wanted, serving, mostAgeMs, nowMs);
 		}
 		if (this.unfitSinceMs == NEVER) {
@@ -231,6 +246,9 @@
 		if (!storeAnswers()) {
 			return askIfDue(nowMs);
 		}
+		if (this.unanswered && nowMs < this.answeredMs + AFTER_OUTAGE_MS && ahead(view, nowMs) > 0) {
+			return Step.STAY;
+		}
 		this.source = this.vm;
 		return Step.READ;
 	}
@@ -274,8 +292,11 @@
 		if (this.recordedMs == NEVER || !othersKnown) {
 			return this.startedMs + UNKNOWN_START_MS;
 		}
-		int ahead = Math.min(view.ahead(this.relay, nowMs), view.ahead(Duty.READ, nowMs));
-		return this.recordedMs + startWaitMs(ahead);
+		return this.recordedMs + startWaitMs(ahead(view, nowMs));
+	}
+
+	private int ahead(DutyView view, long nowMs) {
+		return Math.min(view.ahead(this.relay, nowMs), view.ahead(Duty.READ, nowMs));
 	}
 
 	private static long startWaitMs(int ahead) {
--- a/core/src/test/java/org/tallycart/core/fleet/ReadingFleet.java
+++ b/core/src/test/java/org/tallycart/core/fleet/ReadingFleet.java
@@ -235,6 +235,9 @@
 				this.chooser.onStoreAnswered(now);
 				review(now);
 			}
+			else {
+				this.chooser.onStoreSilent();
+			}
 		}
 
 		private void read(long now) {
--- a/core/src/test/java/org/tallycart/core/fleet/SourceChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/SourceChooserTests.java
@@ -120,6 +120,8 @@
 		assertTrue(fleet.msUntilAllKnow(IN_FORCE_MS) <= 1_000, "after its return");
 		fleet.run(5_000);
 		assertEquals(fleet.reading(), 1);
+		double after = fleet.takeCalls();
+		assertTrue(after <= 60 + 10 * domains, after + " calls after its return");
 	}
 
 	/** Pattern: the reader is lost while the store is away. */
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -220,6 +220,7 @@
 		}
 		else if (!following()) {
 			this.askedInVain = true;
+			this.chooser.onStoreSilent();
 			this.kinds.forEach(FollowedKind::onSilent);
 		}
 	}
