--- a/core/src/main/java/org/tallycart/core/serving/UpstreamEntry.java
+++ b/core/src/main/java/org/tallycart/core/serving/UpstreamEntry.java
@@ -53,6 +53,22 @@
 				&& this.startedMs.getAsLong() > other.startedMs.getAsLong();
 	}
 
+	/**
+	 * Return whether this entry is news to one who knows another one of the same name. A
+	 * cold upstream's entry changes with each of its heartbeats, as the time goes down.
+	 * @param known the other
+	 * @return true if more differs than how long it stays cold, or if it has turned cold
+	 */
+	public boolean newsAfter(UpstreamEntry known) {
+		boolean turnedCold = known.coldMs == 0 && this.coldMs > 0;
+		return turnedCold || !withColdMs(0).equals(known.withColdMs(0));
+	}
+
+	private UpstreamEntry withColdMs(long leftMs) {
+		return new UpstreamEntry(this.id, this.startedMs, this.service, this.address, this.failureDomain, this.slots,
+				this.draining, leftMs);
+	}
+
 	/**
 	 * Builder for {@link UpstreamEntry}. Not thread-safe.
 	 */
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -235,6 +235,15 @@
 			.findFirst();
 	}
 
+	/**
+	 * Return the entry of an upstream that is listed.
+	 * @param id its name
+	 * @return the entry, if it is listed
+	 */
+	public Optional<UpstreamEntry> entry(String id) {
+		return Optional.ofNullable(this.states.get(id)).map(UpstreamState::entry);
+	}
+
 	/**
 	 * Return whether the list, and what is evacuated, was read at least once.
 	 * @return true if it was
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -89,7 +89,9 @@
 		}
 		UpstreamDecoder.decode(object).peek((entry) -> {
 			this.unreadable.remove(entry.id());
-			listed(entry);
+			if (this.directory.entry(entry.id()).map(entry::newsAfter).orElse(true)) {
+				listed(entry);
+			}
 			this.directory.put(entry, this.loop.nowMs());
 		}).peekLeft((problem) -> {
 			this.directory.discard(object.name());
