--- a/core/src/main/java/org/tallycart/core/fleet/DutyRanks.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyRanks.java
@@ -32,9 +32,15 @@
 	// Of duties whose holders are not asked; made when they are needed.
 	private final Map<Duty, List<String>> others = new HashMap<>();
 
+	// The same records come again with each list, and rank as before.
 	void know(Collection<VmRecord> known) {
+		Map<String, VmRecord> fresh = new HashMap<>();
+		known.forEach((record) -> fresh.put(record.vm(), record));
+		if (fresh.equals(this.records)) {
+			return;
+		}
 		this.records.clear();
-		known.forEach((record) -> this.records.put(record.vm(), record));
+		this.records.putAll(fresh);
 		this.others.clear();
 		rankAll(Set.copyOf(this.wanted.keySet()));
 	}
--- a/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
@@ -13,9 +13,10 @@
  * live.
  * <p>
  * For each duty all VMs rank the VMs that may hold it alike, see {@link DutyRanks}. The
- * first that works holds it. A VM asks only the holder and the next in rank, so the
- * number of questions does not depend on the size of the fleet. Views may differ for a
- * while, so two VMs may hold a duty at the same time; duties have to bear that.
+ * first that works holds it. A VM asks only the holder and the next in rank, and for 10 s
+ * more those that were, so the number of questions does not depend on the size of the
+ * fleet. Views may differ for a while, so two VMs may hold a duty at the same time;
+ * duties have to bear that.
  * <p>
  * Invariants: a holder is this VM itself, or a VM that answered lately; a VM that drains
  * holds nothing. Not thread-safe: belongs to one event loop.
@@ -73,13 +74,7 @@
 
 	@Override
 	public String holder(Duty duty) {
-		for (String name : this.ranks.ofWanted(duty)) {
-			PeerLink link = this.links.get(name);
-			if (isThisAndWorks(name) || (link != null && link.working())) {
-				return name;
-			}
-		}
-		return this.vm;
+		return this.ranks.ofWanted(duty).stream().filter(this::works).findFirst().orElse(this.vm);
 	}
 
 	@Override
@@ -89,9 +84,7 @@
 			if (isThisAndWorks(name)) {
 				return ahead;
 			}
-			PeerLink link = this.links.get(name);
-			boolean mayWork = link == null || link.working() || link.mayAnswerYet(nowMs);
-			if (mayWork && !name.equals(this.vm)) {
+			if (works(name) || mayAnswerYet(name, nowMs)) {
 				ahead++;
 			}
 		}
@@ -101,11 +94,10 @@
 	@Override
 	public boolean settled(Duty duty, long nowMs) {
 		for (String name : this.ranks.ofWanted(duty)) {
-			PeerLink link = this.links.get(name);
-			if (isThisAndWorks(name) || (link != null && link.working())) {
+			if (works(name)) {
 				return true;
 			}
-			if (!name.equals(this.vm) && (link == null || link.mayAnswerYet(nowMs))) {
+			if (mayAnswerYet(name, nowMs)) {
 				return false;
 			}
 		}
@@ -116,6 +108,17 @@
 		return name.equals(this.vm) && !this.draining;
 	}
 
+	private boolean works(String name) {
+		PeerLink link = this.links.get(name);
+		return isThisAndWorks(name) || (link != null && link.working());
+	}
+
+	// Another VM that was not asked yet, or not long enough ago to be taken for lost.
+	private boolean mayAnswerYet(String name, long nowMs) {
+		PeerLink link = this.links.get(name);
+		return !name.equals(this.vm) && (link == null || link.mayAnswerYet(nowMs));
+	}
+
 	/**
 	 * Find the VMs that are to be asked now whether they live. To be called every few
 	 * hundred milliseconds at least.
@@ -139,13 +142,12 @@
 	// A VM that is not asked cannot answer: without this it would be taken for lost.
 	private void keepFormer(Map<String, Boolean> roles, long nowMs) {
 		roles.keySet().forEach((name) -> link(name).onRole(nowMs));
-		this.links.values().removeIf((link) -> !link.wantedSince(nowMs - FORMER_MS));
 		this.links.forEach((name, link) -> {
-			if (link.live()) {
+			if (link.live() && link.wantedSince(nowMs - FORMER_MS)) {
 				roles.putIfAbsent(name, false);
 			}
 		});
-		this.links.keySet().removeIf((name) -> !roles.containsKey(name));
+		this.links.keySet().retainAll(roles.keySet());
 	}
 
 	private void forgiveIfStoodStill(long nowMs) {
--- a/core/src/main/java/org/tallycart/core/fleet/SourceChooser.java
+++ b/core/src/main/java/org/tallycart/core/fleet/SourceChooser.java
@@ -79,13 +79,15 @@
 	private static final long SECOND_START_MS = 300;
 
 	/**
-	 * The same for all others, and what each VM before them adds: the first has read the
-	 * store and answered within half a second on a VM of a third of a core.
+	 * The same for all others: the first has read the store and answered within half a
+	 * second on a VM of a third of a core.
 	 */
 	private static final long LATER_START_MS = 1_200;
 
+	/** What each VM before one adds to its wait at a start, in milliseconds. */
 	private static final long LATER_STEP_MS = 20;
 
+	/** The longest such wait, in milliseconds: callers come to a VM that waits, too. */
 	private static final long LATEST_START_MS = 2_000;
 
 	/**
