--- a/http/src/main/java/org/tallycart/http/event/RequestLimits.java
+++ b/http/src/main/java/org/tallycart/http/event/RequestLimits.java
@@ -1,5 +1,7 @@
 package org.tallycart.http.event;
 
+import org.tallycart.core.serving.CallerLimits;
+
 /**
  * What a caller may send, and how long it may take.
  * <p>
@@ -12,4 +14,15 @@
  * @since 0.1
  */
 public record RequestLimits(int maxHeadBytes, long maxBodyBytes, long headTimeoutMs, long idleTimeoutMs) {
+
+	/**
+	 * Take the limits of a configuration.
+	 * @param limits the limits
+	 * @return the same, for a server
+	 */
+	public static RequestLimits of(CallerLimits limits) {
+		return new RequestLimits(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.headerTimeoutMs(),
+				limits.idleTimeoutMs());
+	}
+
 }
--- a/node/src/main/java/org/tallycart/node/Readiness.java
+++ b/node/src/main/java/org/tallycart/node/Readiness.java
@@ -69,9 +69,7 @@
 
 	@Override
 	public RequestLimits limits() {
-		CallerLimits limits = CallerLimits.BEFORE_CONFIGURATION;
-		return new RequestLimits(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.headerTimeoutMs(),
-				limits.idleTimeoutMs());
+		return RequestLimits.of(CallerLimits.BEFORE_CONFIGURATION);
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -96,11 +96,8 @@
 
 	@Override
 	public RequestLimits limits() {
-		CallerLimits limits = this.config.current()
-			.map(ServingConfig::limits)
-			.orElse(CallerLimits.BEFORE_CONFIGURATION);
-		return new RequestLimits(limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.headerTimeoutMs(),
-				limits.idleTimeoutMs());
+		return RequestLimits
+			.of(this.config.current().map(ServingConfig::limits).orElse(CallerLimits.BEFORE_CONFIGURATION));
 	}
 
 }
