--- a/core/src/main/java/org/tallycart/core/serving/UpstreamReply.java
+++ b/core/src/main/java/org/tallycart/core/serving/UpstreamReply.java
@@ -11,12 +11,17 @@
  * @param notRun whether the upstream states that it did not run the request
  * @param signed whether it carries the upstream's mark, which a success needs
  * @param load what the upstream said of its load
- * @param rate what the upstream said of how many requests it takes
+ * @param perSecond the requests a second that the upstream takes from all VMs together,
+ * for as long as its replies say so; where they say nothing it takes what comes
+ * @param leaves whether the upstream says that it leaves; said once, it holds for good
+ * @param restMs for how long the upstream wants no requests from this VM, in milliseconds
+ * from its reply
  * @param fields fields that a caller gets as they are
  * @since 0.1
  */
 public record UpstreamReply(int status, Optional<String> requestId, boolean notRun, boolean signed,
-		Optional<LoadReport> load, RateStatement rate, List<HeaderField> fields) {
+		Optional<LoadReport> load, Stated<Double> perSecond, Stated<Boolean> leaves, Stated<Long> restMs,
+		List<HeaderField> fields) {
 
 	/**
 	 * Return whether the reply is a success.
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -42,6 +42,8 @@
 	// Made when it is asked for, and dropped with each change of the two above.
 	private final Map<String, List<UpstreamState>> byService = new HashMap<>();
 
+	private final StatedAbsences absences = new StatedAbsences();
+
 	private Set<String> evacuated = Set.of();
 
 	private boolean evacuationsKnown = true;
@@ -93,6 +95,14 @@
 		}
 	}
 
+	/**
+	 * Return what upstreams have said of their leaving and of rest.
+	 * @return their statements, which change with what they say
+	 */
+	public StatedAbsences absences() {
+		return this.absences;
+	}
+
 	/** Take note that it is not known yet which failure domains are evacuated. */
 	public void expectEvacuations() {
 		this.evacuationsKnown = false;
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -23,8 +23,6 @@
 import org.tallycart.http.event.HttpServer;
 import org.tallycart.node.crash.CrashNews;
 import org.tallycart.node.crash.CrashWatch;
-import org.tallycart.node.limit.PermitService;
-import org.tallycart.node.limit.UpstreamLimits;
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.node.log.NodeLogging;
 import org.tallycart.node.metrics.MetricsPage;
@@ -38,6 +36,8 @@
 import org.tallycart.node.request.CallerHandler;
 import org.tallycart.node.request.RetryBudgets;
 import org.tallycart.node.request.Serving;
+import org.tallycart.node.statement.PermitService;
+import org.tallycart.node.statement.UpstreamStatements;
 import org.tallycart.node.store.ConfigInForce;
 import org.tallycart.node.store.Known;
 import org.tallycart.node.store.StoreLink;
@@ -96,9 +96,9 @@
 
 	private final Quarantine quarantine = new Quarantine();
 
-	private final NewsSpread limitSpread;
+	private final NewsSpread statementSpread;
 
-	private final UpstreamLimits limits;
+	private final UpstreamStatements statements;
 
 	private final PermitService permits;
 
@@ -139,20 +139,20 @@
 		this.crashNews = new CrashNews(this.quarantine, this.loop, this.log, new QuarantineRecords(objects),
 				this.crashSpread);
 		CrashWatch crashes = new CrashWatch(this.http, this.loop, this.log, this.metrics, this.crashNews);
-		this.limitSpread = new NewsSpread(settings.vm(), this.store);
-		this.limits = new UpstreamLimits(this.loop, () -> identity.clock().tick(Clocks.SYSTEM.wallMs()), this.log,
-				this.metrics, this.directory, this.limitSpread, this::wantDuties);
-		this.permits = new PermitService(settings.vm(), this.limits, this.loop, this.metrics);
+		this.statementSpread = new NewsSpread(settings.vm(), this.store);
+		this.statements = new UpstreamStatements(this.loop, () -> identity.clock().tick(Clocks.SYSTEM.wallMs()),
+				this.log, this.metrics, this.directory, this.statementSpread, this::wantDuties);
+		this.permits = new PermitService(settings.vm(), this.statements, this.loop, this.metrics);
 		HandleReturns returns = new HandleReturns(this.http, this.loop, this.directory);
-		PoolParts parts = new PoolParts(this.http, this.loop, this.log, returns, crashes, this.limits, this.permits,
+		PoolParts parts = new PoolParts(this.http, this.loop, this.log, returns, crashes, this.statements, this.permits,
 				this.metrics);
 		this.pieces = new PieceService(settings.vm(), parts, this.config, this.directory);
 		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log,
-				PeerMessages.all(List.of(this.pieces, this.crashNews, this.limits, this.permits)), this.store);
+				PeerMessages.all(List.of(this.pieces, this.crashNews, this.statements, this.permits)), this.store);
 		this.budgets = new RetryBudgets(settings.bounds(), this.loop, this::vmsSharingBudgets);
 		this.cold = new ColdLimit(settings.vm(), this.mesh::vms, this::coldPerSecond);
 		Serving serving = new Serving(settings.failureDomain(), this.loop, this.log, this.http, this.directory,
-				this.cold, this.limits, this.permits, this.pieces, this.budgets, crashes, this.quarantine,
+				this.cold, this.statements, this.permits, this.pieces, this.budgets, crashes, this.quarantine,
 				this.metrics);
 		this.callerHandler = new CallerHandler(serving, this.config);
 	}
@@ -200,7 +200,7 @@
 	private void wantDuties() {
 		List<Duty> duties = new ArrayList<>(this.pieces.duties());
 		duties.addAll(this.store.duties());
-		duties.addAll(this.limits.duties());
+		duties.addAll(this.statements.duties());
 		this.mesh.want(duties);
 	}
 
@@ -249,7 +249,9 @@
 		this.metrics.gauge("evacuated_domains", () -> this.directory.evacuated().size());
 		this.metrics.gauge("store.era", this.store::era);
 		this.metrics.gauge("store.kept_against_copy", this.store::keptAgainstCopy);
-		this.metrics.gauge("upstreams.limited", this.limits::count);
+		this.metrics.gauge("upstreams.limited", this.statements::limited);
+		this.metrics.gauge("upstreams.leaving", this.statements::leaving);
+		this.metrics.gauge("upstreams.resting", this.statements::resting);
 		this.metrics.gauge("quarantine.requests", () -> this.quarantine.all().size());
 		this.metrics.gauge("store.following", () -> this.store.following() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
@@ -263,7 +265,7 @@
 		this.store.start(this.mesh, listeners.peers());
 		this.pieces.start(this.mesh);
 		this.crashSpread.start(this.mesh);
-		this.limitSpread.start(this.mesh);
+		this.statementSpread.start(this.mesh);
 		this.permits.start(this.mesh);
 		this.loop.every(HOUSEKEEPING_MS, this::housekeeping);
 	}
@@ -272,7 +274,7 @@
 		this.directory.tick(this.loop.nowMs());
 		this.cold.tick(this.loop.nowMs());
 		this.crashNews.tick();
-		this.limits.tick();
+		this.statements.tick();
 		this.permits.tick();
 		this.http.closeStale();
 		this.readiness.ready();
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import org.tallycart.node.statement.StatementKind;
 import org.tallycart.platform.store.EntryProblem;
 import org.tallycart.platform.store.StoreCall;
 
@@ -113,9 +114,19 @@
 		this.registry.counter(granted ? "limits.granted" : "limits.denied").inc();
 	}
 
-	/** Count a reply that names a limit that cannot be read. */
-	public void onUnreadableLimit() {
-		this.registry.counter("upstreams.unreadable_limit").inc();
+	/**
+	 * Count a reply that says something of its upstream that cannot be read.
+	 * @param kind what it speaks of
+	 */
+	public void onUnreadableStatement(StatementKind kind) {
+		this.registry.counter("upstreams.unreadable_" + kind.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
+	/**
+	 * Count a request that is sent to an upstream that has said that it leaves, or rests.
+	 */
+	public void onSendToAbsent() {
+		this.registry.counter("sends.to_absent").inc();
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -124,7 +124,7 @@
 			.event(EventCode.POOL_CALL_MADE, "service", this.service, "worker", worker.id(), "call", call.number(),
 					"pieces", call.jobs().size(), "waiting", this.dispatcher.waiting(), "expected_ms",
 					Math.round(call.expectedMs()), "requests", requests(call));
-		this.parts.limits().onSend(worker);
+		this.parts.statements().onSend(worker);
 		HttpExchange exchange = HttpExchange.to(worker.incarnation(), worker.address(), PieceCodec.runHead(worker))
 			.body(PieceCodec.runBody(call.jobs(), call.startedMs()))
 			.connectTimeoutMs(CONNECT_TIMEOUT_MS)
@@ -160,7 +160,7 @@
 	}
 
 	private void onAnswer(PoolCall call, WholeReply reply, long now) {
-		this.parts.limits().onReply(call.worker(), UpstreamCodec.decode(reply.head()));
+		this.parts.statements().onReply(call.worker(), UpstreamCodec.decode(reply.head()));
 		Either<String, List<PieceOutcome>> outcomes = PieceCodec.outcomes(reply.head(), reply.body(),
 				call.jobs().size());
 		if (outcomes.isLeft()) {
--- a/node/src/main/java/org/tallycart/node/piece/PoolParts.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolParts.java
@@ -4,9 +4,9 @@
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.node.Loop;
 import org.tallycart.node.crash.CrashWatch;
-import org.tallycart.node.limit.UpstreamLimits;
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.node.metrics.NodeMetrics;
+import org.tallycart.node.statement.UpstreamStatements;
 
 /**
  * What all pools of a process share.
@@ -16,11 +16,11 @@
  * @param log where decisions are written
  * @param returns takes results that nobody needs
  * @param crashes finds out which workers end under pieces
- * @param limits knows the limits that workers have named
+ * @param statements knows what workers have said of themselves
  * @param callLimit tells when a worker takes another call
  * @param metrics what is counted
  * @since 0.1
  */
 public record PoolParts(HttpClient http, Loop loop, NodeLog log, HandleReturns returns, CrashWatch crashes,
-		UpstreamLimits limits, CallLimit callLimit, NodeMetrics metrics) {
+		UpstreamStatements statements, CallLimit callLimit, NodeMetrics metrics) {
 }
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -119,7 +119,7 @@
 			return false;
 		}
 		this.reply = decoded;
-		this.serving.limits().onReply(this.upstream.entry(), decoded);
+		this.serving.statements().onReply(this.upstream.entry(), decoded);
 		decoded.load().ifPresent((load) -> this.upstream.onReport(load, this.serving.loop().nowMs()));
 		if (streams(decoded)) {
 			this.owner.onStream(decoded);
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -174,11 +174,12 @@
 		this.serving.log()
 			.request(EventCode.UPSTREAM_CHOSEN, this.plan.request().id(), "upstream", upstream.entry().id(), "domain",
 					upstream.entry().failureDomain(), "cold_ms", upstream.coldMs(now()), "limit",
-					this.serving.limits().limitText(upstream.entry()), "send", this.sends, "in_flight",
+					this.serving.statements().limitText(upstream.entry()), "accepts_in_ms",
+					this.serving.statements().acceptsInMs(upstream.entry()), "send", this.sends, "in_flight",
 					upstream.inFlight(), "error_rate", upstream.errorRate(), "left_ms", left, "session", session(),
 					"fetch_from", choice.fetchFrom().map((from) -> from.entry().id()).orElse("none"));
 		this.serving.cold().onSend(upstream, now());
-		this.serving.limits().onSend(upstream.entry());
+		this.serving.statements().onSend(upstream.entry());
 		Attempt fresh = new Attempt(this.serving, this.plan, choice, this);
 		this.attempt = fresh;
 		limitSilence(fresh);
--- a/node/src/main/java/org/tallycart/node/request/Serving.java
+++ b/node/src/main/java/org/tallycart/node/request/Serving.java
@@ -9,11 +9,11 @@
 import org.tallycart.http.event.HttpClient;
 import org.tallycart.node.Loop;
 import org.tallycart.node.crash.CrashWatch;
-import org.tallycart.node.limit.PermitService;
-import org.tallycart.node.limit.UpstreamLimits;
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.piece.PieceService;
+import org.tallycart.node.statement.PermitService;
+import org.tallycart.node.statement.UpstreamStatements;
 
 /**
  * What all requests of a process share.
@@ -24,7 +24,7 @@
  * @param http calls upstreams
  * @param directory the upstreams
  * @param cold limits what cold upstreams get
- * @param limits knows the limits that upstreams have named
+ * @param statements knows what upstreams have said of themselves
  * @param permits gets permits to send to those upstreams
  * @param pieces gets stage work made
  * @param budgets limits repeats
@@ -34,7 +34,7 @@
  * @since 0.1
  */
 public record Serving(String failureDomain, Loop loop, NodeLog log, HttpClient http, UpstreamDirectory directory,
-		ColdLimit cold, UpstreamLimits limits, PermitService permits, PieceService pieces, RetryBudgets budgets,
+		ColdLimit cold, UpstreamStatements statements, PermitService permits, PieceService pieces, RetryBudgets budgets,
 		CrashWatch crashes, Quarantine quarantine, NodeMetrics metrics) {
 
 	/**
--- a/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
+++ b/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
@@ -11,7 +11,7 @@
 import org.tallycart.core.upstream.PlainChooser;
 import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
-import org.tallycart.node.limit.PermitService;
+import org.tallycart.node.statement.PermitService;
 
 /**
  * Picks the upstream for the next send of one request, and gets the permit for it where
--- a/node/src/main/java/org/tallycart/node/limit/LimitWire.java
+++ b/node/src/main/java/org/tallycart/node/statement/LimitWire.java
@@ -1,4 +1,4 @@
-package org.tallycart.node.limit;
+package org.tallycart.node.statement;
 
 import java.util.Map;
 import java.util.OptionalDouble;
--- a/node/src/main/java/org/tallycart/node/limit/PermitService.java
+++ b/node/src/main/java/org/tallycart/node/statement/PermitService.java
@@ -1,4 +1,4 @@
-package org.tallycart.node.limit;
+package org.tallycart.node.statement;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -58,7 +58,7 @@
 
 	private final String vm;
 
-	private final UpstreamLimits limits;
+	private final UpstreamStatements statements;
 
 	private final Loop loop;
 
@@ -71,13 +71,13 @@
 	/**
 	 * Create a service.
 	 * @param vm this VM's name
-	 * @param limits knows the limits
+	 * @param statements knows the limits
 	 * @param loop the event loop
 	 * @param metrics what is counted
 	 */
-	public PermitService(String vm, UpstreamLimits limits, Loop loop, NodeMetrics metrics) {
+	public PermitService(String vm, UpstreamStatements statements, Loop loop, NodeMetrics metrics) {
 		this.vm = vm;
-		this.limits = limits;
+		this.statements = statements;
 		this.loop = loop;
 		this.metrics = metrics;
 	}
@@ -96,7 +96,7 @@
 	 * @return true if a permit is needed
 	 */
 	public boolean limited(UpstreamEntry upstream) {
-		return this.limits.perSecond(upstream).isPresent();
+		return this.statements.perSecond(upstream).isPresent();
 	}
 
 	/**
@@ -149,7 +149,7 @@
 	private void askAt(String holder, String incarnation, long patienceMs, Consumer<Permit> asker) {
 		long number = ++this.lastNumber;
 		this.pending.put(number, new Pending(holder, asker));
-		Envelope.Builder ask = LimitWire.ask(number, this.limits.encoded(incarnation), patienceMs);
+		Envelope.Builder ask = LimitWire.ask(number, this.statements.encoded(incarnation), patienceMs);
 		this.mesh.ifPresent((peers) -> peers.send(holder, ask));
 		this.loop.after(ANSWER_MS, () -> settle(number, Permit.denied(UNKNOWN_MS)));
 	}
@@ -162,7 +162,7 @@
 	}
 
 	private Permit grant(String incarnation, Duty duty, long patienceMs) {
-		OptionalDouble perSecond = this.limits.perSecond(incarnation);
+		OptionalDouble perSecond = this.statements.perSecond(incarnation);
 		if (perSecond.isEmpty()) {
 			return Permit.FREE;
 		}
@@ -175,7 +175,7 @@
 
 	@Override
 	public boolean mayCall(UpstreamEntry worker) {
-		OptionalDouble perSecond = this.limits.perSecond(worker);
+		OptionalDouble perSecond = this.statements.perSecond(worker);
 		return perSecond.isEmpty() || this.grants.available(worker.incarnation(), perSecond.getAsDouble(),
 				share(Duty.dispatch(worker.service())), this.loop.nowMs());
 	}
@@ -199,16 +199,16 @@
 	// that grants.
 	private void onAsk(String from, LimitAsk ask) {
 		String incarnation = ask.getLimit().getIncarnation();
-		this.limits.learn(from, ask.getLimit());
+		this.statements.learn(from, ask.getLimit());
 		boolean grantsHere = holder().filter(this.vm::equals).isPresent();
 		Permit permit = grantsHere ? grant(incarnation, Duty.GRANT, Integer.toUnsignedLong(ask.getPatienceMs()))
 				: Permit.denied(UNKNOWN_MS);
-		Envelope.Builder answer = LimitWire.answer(ask.getNumber(), permit, this.limits.encoded(incarnation));
+		Envelope.Builder answer = LimitWire.answer(ask.getNumber(), permit, this.statements.encoded(incarnation));
 		this.mesh.ifPresent((peers) -> peers.answer(from, answer));
 	}
 
 	private void onAnswer(String from, LimitAnswer answer) {
-		this.limits.learn(from, answer.getLimit());
+		this.statements.learn(from, answer.getLimit());
 		settle(answer.getNumber(), new Permit(answer.getGranted(), Integer.toUnsignedLong(answer.getWaitMs())));
 	}
 
--- a/node/src/main/java/org/tallycart/node/limit/UpstreamLimits.java
+++ b/node/src/main/java/org/tallycart/node/statement/UpstreamStatements.java
@@ -1,18 +1,21 @@
-package org.tallycart.node.limit;
+package org.tallycart.node.statement;
 
-import java.util.HashSet;
+import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Supplier;
 
 import org.tallycart.core.fleet.Duty;
 import org.tallycart.core.limit.NamedLimits;
-import org.tallycart.core.serving.RateStatement;
+import org.tallycart.core.serving.Stated;
 import org.tallycart.core.serving.UpstreamEntry;
 import org.tallycart.core.serving.UpstreamReply;
 import org.tallycart.core.time.HybridTimestamp;
+import org.tallycart.core.upstream.StatedAbsences;
 import org.tallycart.core.upstream.UpstreamDirectory;
 import org.tallycart.node.Loop;
 import org.tallycart.node.log.NodeLog;
@@ -24,22 +27,24 @@
 import org.tallycart.wire.message.UpstreamLimit;
 
 /**
- * The limits that upstreams name in their replies, known at all VMs. Whichever VM hears
- * one tells the others at once; a VM that starts is told before it learns which upstreams
- * there are. The platform's store is not needed for it.
+ * What upstreams say of themselves in their replies. The limits that they name are known
+ * at all VMs: whichever VM hears one tells the others at once; a VM that starts is told
+ * before it learns which upstreams there are. The platform's store is not needed for it.
+ * That an upstream leaves, or needs rest, is kept by the directory of upstreams.
  * <p>
  * Not thread-safe: belongs to the event loop.
  *
  * @since 0.1
  */
-public final class UpstreamLimits implements PeerMessages {
+public final class UpstreamStatements implements PeerMessages {
 
 	/** An upstream that is not the one that was meant says nothing of the one meant. */
 	private static final int MISDIRECTED = 421;
 
 	private final NamedLimits named = new NamedLimits();
 
-	private final Set<String> unreadable = new HashSet<>();
+	// By incarnation, what it has last said so that it cannot be read.
+	private final Map<String, Set<StatementKind>> unreadable = new HashMap<>();
 
 	private final Loop loop;
 
@@ -51,12 +56,14 @@
 
 	private final UpstreamDirectory directory;
 
+	private final StatedAbsences absences;
+
 	private final NewsSpread spread;
 
 	private final Runnable onDuties;
 
 	/**
-	 * Create the limits of a process.
+	 * Create the statements that a process knows.
 	 * @param loop the event loop
 	 * @param clock stamps what is heard; the same that stamps messages to other VMs
 	 * @param log where changes are written
@@ -65,13 +72,14 @@
 	 * @param spread the way to the other VMs
 	 * @param onDuties runs after each change of the duties that matter to this VM
 	 */
-	public UpstreamLimits(Loop loop, Supplier<HybridTimestamp> clock, NodeLog log, NodeMetrics metrics,
+	public UpstreamStatements(Loop loop, Supplier<HybridTimestamp> clock, NodeLog log, NodeMetrics metrics,
 			UpstreamDirectory directory, NewsSpread spread, Runnable onDuties) {
 		this.loop = loop;
 		this.clock = clock;
 		this.log = log;
 		this.metrics = metrics;
 		this.directory = directory;
+		this.absences = directory.absences();
 		this.spread = spread;
 		this.onDuties = onDuties;
 		spread.onFollower(this::tellAll);
@@ -91,32 +99,58 @@
 	 * @param reply the reply
 	 */
 	public void onReply(UpstreamEntry upstream, UpstreamReply reply) {
-		RateStatement statement = reply.rate();
 		if (reply.status() == MISDIRECTED) {
 			return;
 		}
-		if (statement.kind() == RateStatement.Kind.UNREADABLE) {
-			this.metrics.onUnreadableLimit();
-			onUnreadable(upstream);
-			return;
+		onLimit(upstream, reply);
+		if (readable(upstream, StatementKind.LEAVING, reply.leaves()) && reply.leaves().value().orElse(false)) {
+			onLeaving(upstream.incarnation(), "reply");
 		}
-		if (!this.unreadable.isEmpty()) {
-			this.unreadable.remove(upstream.incarnation());
+		if (readable(upstream, StatementKind.REST, reply.restMs())) {
+			reply.restMs().value().ifPresent((ms) -> onRest(upstream, ms));
 		}
+	}
+
+	private void onLimit(UpstreamEntry upstream, UpstreamReply reply) {
+		Optional<Double> limit = reply.perSecond().value();
 		// A failure may come from what stands before the upstream, which knows no limit.
-		if (statement.limit().isPresent() || reply.success()) {
-			onStatement(upstream.incarnation(), statement.limit());
+		boolean tells = limit.isPresent() || reply.success();
+		if (readable(upstream, StatementKind.LIMIT, reply.perSecond()) && tells) {
+			onLimit(upstream.incarnation(),
+					limit.isPresent() ? OptionalDouble.of(limit.get()) : OptionalDouble.empty());
+		}
+	}
+
+	// An upstream that goes on to say what cannot be read gets no line of its own for
+	// each reply.
+	private boolean readable(UpstreamEntry upstream, StatementKind kind, Stated<?> stated) {
+		if (stated.isUnreadable()) {
+			this.metrics.onUnreadableStatement(kind);
+			if (this.unreadable.computeIfAbsent(upstream.incarnation(), (key) -> EnumSet.noneOf(StatementKind.class))
+				.add(kind)) {
+				this.log.event(EventCode.UPSTREAM_STATEMENT_UNREADABLE, "upstream", upstream.id(), "statement", kind);
+			}
+			return false;
+		}
+		if (!this.unreadable.isEmpty()) {
+			Optional.ofNullable(this.unreadable.get(upstream.incarnation())).ifPresent((kinds) -> kinds.remove(kind));
 		}
+		return true;
 	}
 
-	// An upstream that goes on to say it gets no line of its own for each reply.
-	private void onUnreadable(UpstreamEntry upstream) {
-		if (this.unreadable.add(upstream.incarnation())) {
-			this.log.event(EventCode.UPSTREAM_LIMIT_UNREADABLE, "upstream", upstream.id());
+	private void onLeaving(String incarnation, String by) {
+		if (this.absences.onLeaving(incarnation, this.loop.nowMs())) {
+			this.log.event(EventCode.UPSTREAM_LEAVES, "upstream", incarnation, "by", by);
 		}
 	}
 
-	private void onStatement(String incarnation, OptionalDouble perSecond) {
+	private void onRest(UpstreamEntry upstream, long ms) {
+		if (this.absences.onRest(upstream.incarnation(), ms, this.loop.nowMs())) {
+			this.log.event(EventCode.UPSTREAM_RESTS, "upstream", upstream.incarnation(), "ms", ms);
+		}
+	}
+
+	private void onLimit(String incarnation, OptionalDouble perSecond) {
 		if (perSecond.isPresent() || this.named.perSecond(incarnation).isPresent()) {
 			hear(incarnation, new NamedLimits.Named(perSecond, this.clock.get()), "reply");
 		}
@@ -149,6 +183,19 @@
 		if (perSecond(upstream).isPresent()) {
 			this.metrics.onSendToLimited();
 		}
+		if (acceptsInMs(upstream) > 0) {
+			this.metrics.onSendToAbsent();
+		}
+	}
+
+	/**
+	 * Return when an upstream takes requests from this VM, by its own word.
+	 * @param upstream the upstream
+	 * @return milliseconds; 0 if it takes them now, {@link StatedAbsences#NEVER} if it
+	 * leaves
+	 */
+	public long acceptsInMs(UpstreamEntry upstream) {
+		return this.absences.isEmpty() ? 0 : this.absences.acceptsInMs(upstream.incarnation(), this.loop.nowMs());
 	}
 
 	/**
@@ -191,22 +238,44 @@
 	 * Return how many upstreams have a limit, as this VM knows.
 	 * @return the count
 	 */
-	public long count() {
+	public long limited() {
 		return this.named.count();
 	}
 
+	/**
+	 * Return how many upstreams have said that they leave, as this VM knows.
+	 * @return the count, with some that are gone
+	 */
+	public long leaving() {
+		return this.absences.leaving().size();
+	}
+
+	/**
+	 * Return how many upstreams want no requests from this VM for a time.
+	 * @return the count
+	 */
+	public long resting() {
+		return this.absences.resting(this.loop.nowMs());
+	}
+
 	/**
 	 * Tell a new source what the former one was told, and drop what is of no use any
 	 * more. To be called now and then.
 	 */
 	public void tick() {
-		if (!this.unreadable.isEmpty()) {
-			this.unreadable.retainAll(this.directory.incarnations());
-		}
-		if (this.named.isEmpty()) {
+		if (this.unreadable.isEmpty() && this.absences.isEmpty() && this.named.isEmpty()) {
 			return;
 		}
-		this.named.expire(this.directory.incarnations()::contains, this.loop.nowMs());
+		Set<String> listed = this.directory.incarnations();
+		this.unreadable.keySet().retainAll(listed);
+		this.absences.expire(listed::contains, this.loop.nowMs());
+		if (!this.named.isEmpty()) {
+			tickLimits(listed);
+		}
+	}
+
+	private void tickLimits(Set<String> listed) {
+		this.named.expire(listed::contains, this.loop.nowMs());
 		if (this.spread.takeChange()) {
 			this.spread.tellAbove(LimitWire.notice(this.named.all()));
 		}
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -169,12 +169,18 @@
 	/** An upstream's limit changed. */
 	UPSTREAM_LIMIT_CHANGED(6034, Level.INFO,
 			"An upstream has named a limit on the requests a second that it takes, or changed it or taken it back; the detail holds who heard it."),
-	/** An upstream's limit is unreadable. */
-	UPSTREAM_LIMIT_UNREADABLE(6035, Level.WARN,
-			"An upstream has named a limit that cannot be read; what was known of it holds on."),
+	/** What an upstream says of itself is unreadable. */
+	UPSTREAM_STATEMENT_UNREADABLE(6035, Level.WARN,
+			"An upstream has said something of itself that cannot be read; what was known of it holds on. The detail holds what it spoke of."),
 	/** The store came back from an older copy. */
 	STORE_ERA_CHANGED(6036, Level.WARN,
 			"The platform's store has come back from an older copy; what was written last may be gone. The detail holds its eras, and how this process learned it."),
+	/** An upstream leaves. */
+	UPSTREAM_LEAVES(6037, Level.INFO,
+			"An upstream has said in a reply that it leaves; it gets nothing new. The detail holds who heard it."),
+	/** An upstream rests. */
+	UPSTREAM_RESTS(6038, Level.INFO,
+			"An upstream has refused a request and wants none from this VM for a time; the detail holds for how long."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
