--- a/core/src/main/java/org/tallycart/core/pool/CallLimit.java
+++ b/core/src/main/java/org/tallycart/core/pool/CallLimit.java
@@ -3,7 +3,8 @@
 import org.tallycart.core.serving.UpstreamEntry;
 
 /**
- * Tells when a worker takes another call, where it takes fewer than it has slots for.
+ * Tells when a worker takes another call, where it takes fewer than it has slots for, or
+ * none for a time.
  * <p>
  * Not thread-safe: belongs to the dispatcher's event loop.
  *
@@ -19,6 +20,11 @@
 			return true;
 		}
 
+		@Override
+		public long acceptsInMs(UpstreamEntry worker) {
+			return 0;
+		}
+
 		@Override
 		public void onCall(UpstreamEntry worker) {
 			// Nothing is counted.
@@ -33,6 +39,14 @@
 	 */
 	boolean mayCall(UpstreamEntry worker);
 
+	/**
+	 * Return when a worker takes calls from this VM, by its own word.
+	 * @param worker the worker
+	 * @return milliseconds; 0 if it takes them now,
+	 * {@link org.tallycart.core.upstream.StatedAbsences#NEVER} if it leaves
+	 */
+	long acceptsInMs(UpstreamEntry worker);
+
 	/**
 	 * Take note that a worker gets a call. To be called for each.
 	 * @param worker the worker
--- a/core/src/main/java/org/tallycart/core/pool/PieceOutcome.java
+++ b/core/src/main/java/org/tallycart/core/pool/PieceOutcome.java
@@ -5,9 +5,11 @@
  *
  * @param status the kind of outcome
  * @param handle names the result, where the piece was made; otherwise empty
+ * @param retryAfterMs when the piece may be asked for again, in milliseconds, where no
+ * worker takes calls; otherwise 0
  * @since 0.1
  */
-public record PieceOutcome(Status status, String handle) {
+public record PieceOutcome(Status status, String handle, long retryAfterMs) {
 
 	/** Kinds of outcome. */
 	public enum Status {
@@ -21,7 +23,9 @@
 		/** The maker had no room for its result. */
 		NO_ROOM,
 		/** The maker failed, or cannot be reached. */
-		FAILED
+		FAILED,
+		/** All workers of the pool have said that they leave, or need rest. */
+		NO_WORKER
 
 	}
 
@@ -31,7 +35,7 @@
 	 * @return the outcome
 	 */
 	public static PieceOutcome made(String handle) {
-		return new PieceOutcome(Status.MADE, handle);
+		return new PieceOutcome(Status.MADE, handle, 0);
 	}
 
 	/**
@@ -40,7 +44,16 @@
 	 * @return the outcome
 	 */
 	public static PieceOutcome notMade(Status status) {
-		return new PieceOutcome(status, "");
+		return new PieceOutcome(status, "", 0);
+	}
+
+	/**
+	 * A piece that was not made, since no worker takes calls.
+	 * @param retryAfterMs when one will, in milliseconds
+	 * @return the outcome
+	 */
+	public static PieceOutcome noWorker(long retryAfterMs) {
+		return new PieceOutcome(Status.NO_WORKER, "", retryAfterMs);
 	}
 
 }
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -10,6 +10,7 @@
 import org.tallycart.core.outcome.InvariantViolation;
 import org.tallycart.core.serving.PoolSpec;
 import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.upstream.StatedAbsences;
 
 /**
  * Puts the pieces of many requests into calls of one pool's workers.
@@ -19,8 +20,9 @@
  * go together.
  * <p>
  * Invariants: no worker has more calls than slots; a piece is in the queue or in calls,
- * and each asker hears one outcome unless it withdraws; no worker gets a call that drains
- * or whose failure domain is evacuated. Not thread-safe.
+ * and each asker hears one outcome unless it withdraws; no worker gets a call that leaves
+ * or rests, or whose failure domain is evacuated; a piece does not wait while all do. Not
+ * thread-safe.
  *
  * @since 0.1
  */
@@ -29,6 +31,12 @@
 	/** How long a worker without room for results gets no pieces, in milliseconds. */
 	private static final long NO_ROOM_PAUSE_MS = 60;
 
+	/**
+	 * When a piece may be asked for again where all workers leave, in milliseconds:
+	 * others that take their place are listed within about a heartbeat.
+	 */
+	private static final long NO_WORKER_RETRY_MS = 1_000;
+
 	/** Calls that may be tried for one piece: the first, and two more after failures. */
 	private static final int MAX_CALLS = 3;
 
@@ -50,6 +58,8 @@
 
 	private boolean stopped;
 
+	private boolean workersKnown;
+
 	/**
 	 * Create a dispatcher.
 	 * @param spec what a worker can do
@@ -79,11 +89,12 @@
 	}
 
 	/**
-	 * Take the workers that exist now.
+	 * Take the workers that exist now. Before that is known pieces wait.
 	 * @param entries the workers
 	 * @param evacuated failure domains whose workers get no calls
 	 */
 	public void updateWorkers(List<UpstreamEntry> entries, Set<String> evacuated) {
+		this.workersKnown = true;
 		this.workers.update(entries);
 		this.workers.close(evacuated);
 	}
@@ -142,6 +153,7 @@
 	 */
 	public Optional<PoolCall> nextCall(long nowMs) {
 		giveUpLate(nowMs);
+		giveUpWithoutWorkers();
 		if (this.queue.isEmpty()) {
 			return Optional.empty();
 		}
@@ -239,7 +251,7 @@
 				waiting.onNoCall();
 				enqueue(waiting);
 			}
-			case FAILED -> tryAgain(waiting, call.worker().incarnation(), outcome);
+			case FAILED, NO_WORKER -> tryAgain(waiting, call.worker().incarnation(), outcome);
 		}
 	}
 
@@ -329,6 +341,19 @@
 		order(nowMs).tooMuch(this.queue).forEach((waiting) -> settle(waiting, late));
 	}
 
+	// Held until a rest ends, all callers would come at the same moment, and those whose
+	// time is over by then would have waited for nothing.
+	private void giveUpWithoutWorkers() {
+		if (this.queue.isEmpty() || !this.workersKnown) {
+			return;
+		}
+		long acceptsInMs = this.workers.acceptsInMs();
+		if (acceptsInMs > 0) {
+			long retryMs = (acceptsInMs == StatedAbsences.NEVER) ? NO_WORKER_RETRY_MS : acceptsInMs;
+			new ArrayList<>(this.queue).forEach((waiting) -> settle(waiting, PieceOutcome.noWorker(retryMs)));
+		}
+	}
+
 	private void giveUpLate(long nowMs) {
 		PieceOutcome late = PieceOutcome.notMade(PieceOutcome.Status.LATE);
 		double shortestMs = this.spec.expectedMs(1);
--- a/core/src/main/java/org/tallycart/core/pool/PoolWorker.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolWorker.java
@@ -63,6 +63,10 @@
 		return !this.entry.draining() && !this.closed && nowMs >= this.pausedUntilMs;
 	}
 
+	boolean closed() {
+		return this.closed;
+	}
+
 	// Calls take this many times as long as at a worker of ordinary speed.
 	double pace() {
 		return this.pace;
--- a/core/src/main/java/org/tallycart/core/pool/PoolWorkers.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolWorkers.java
@@ -12,6 +12,7 @@
 
 import org.tallycart.core.serving.PoolSpec;
 import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.upstream.StatedAbsences;
 
 /**
  * The workers of a pool, and which of them gets the next call.
@@ -64,7 +65,25 @@
 	}
 
 	private boolean callable(PoolWorker worker, long nowMs) {
-		return worker.available(nowMs) && this.limit.mayCall(worker.entry());
+		return worker.available(nowMs) && acceptsInMs(worker) == 0 && this.limit.mayCall(worker.entry());
+	}
+
+	// When the first worker takes calls, by their own words; NEVER if there is none that
+	// does not leave. Evacuated ones may be taken back at any moment.
+	long acceptsInMs() {
+		if (this.workers.isEmpty()) {
+			return StatedAbsences.NEVER;
+		}
+		return this.workers.values()
+			.stream()
+			.filter((worker) -> !worker.closed())
+			.mapToLong(this::acceptsInMs)
+			.min()
+			.orElse(0);
+	}
+
+	private long acceptsInMs(PoolWorker worker) {
+		return worker.entry().draining() ? StatedAbsences.NEVER : this.limit.acceptsInMs(worker.entry());
 	}
 
 	Set<String> ids() {
--- a/core/src/main/java/org/tallycart/core/upstream/StatedAbsences.java
+++ b/core/src/main/java/org/tallycart/core/upstream/StatedAbsences.java
@@ -6,8 +6,8 @@
 import java.util.function.Predicate;
 
 /**
- * The upstreams that have said that they want no requests: for good, since they leave, or
- * for a time, since they need rest.
+ * The upstreams that have said, in replies or in their entries, that they want no
+ * requests: for good, since they leave, or for a time, since they need rest.
  * <p>
  * Both are kept by incarnation and apart from the platform's list, so that neither an
  * entry that is written late, nor one that is gone and comes back, takes them back.
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -21,8 +21,9 @@
  * store and for a time after it, are kept for that time: their upstreams mostly live, and
  * have only failed to renew them.
  * <p>
- * Invariant: a draining upstream, one that is gone, and one in a failure domain that the
- * operators have evacuated are no candidates. Not thread-safe: belongs to one event loop.
+ * Invariant: an upstream that leaves or rests, by its entry or its replies, one that is
+ * gone, and one in a failure domain that the operators have evacuated are no candidates.
+ * Not thread-safe: belongs to one event loop.
  *
  * @since 0.1
  */
@@ -82,13 +83,16 @@
 	 */
 	public void put(UpstreamEntry entry, long nowMs) {
 		this.byService.clear();
+		if (entry.draining()) {
+			this.absences.onLeaving(entry.incarnation(), nowMs);
+		}
 		UpstreamState returned = this.vanished.remove(entry.id());
 		if (returned != null) {
 			this.states.put(entry.id(), returned);
 		}
 		UpstreamState known = this.states.get(entry.id());
 		if (known == null || entry.startedAfter(known.entry())) {
-			this.states.put(entry.id(), new UpstreamState(entry, nowMs));
+			this.states.put(entry.id(), new UpstreamState(entry, this.absences, nowMs));
 		}
 		else if (!known.entry().startedAfter(entry)) {
 			known.update(entry, nowMs);
@@ -202,17 +206,35 @@
 	 * Return the upstreams of a service that may get new work.
 	 * @param service the service
 	 * @param nowMs the steady clock
-	 * @return those that are not leaving and not evacuated; without those that could not
-	 * be reached lately, unless there are no others
+	 * @return those that neither leave nor rest and are not evacuated; without those that
+	 * could not be reached lately, unless there are no others
 	 */
 	public List<UpstreamState> candidates(String service, long nowMs) {
+		List<UpstreamState> accepting = open(service);
+		accepting.removeIf((state) -> state.acceptsInMs(nowMs) > 0);
+		List<UpstreamState> usable = accepting.stream().filter((state) -> state.usable(nowMs)).toList();
+		return usable.isEmpty() ? accepting : usable;
+	}
+
+	// Those that operators let be used, the resting among them.
+	private List<UpstreamState> open(String service) {
 		if (!this.evacuationsKnown) {
-			return List.of();
+			return new ArrayList<>();
 		}
-		List<UpstreamState> present = all(service);
-		present.removeIf((state) -> this.evacuated.contains(state.entry().failureDomain()));
-		List<UpstreamState> usable = present.stream().filter((state) -> state.usable(nowMs)).toList();
-		return usable.isEmpty() ? present : usable;
+		List<UpstreamState> open = all(service);
+		open.removeIf((state) -> this.evacuated.contains(state.entry().failureDomain()));
+		return open;
+	}
+
+	/**
+	 * Return when the first upstream of a service takes requests, by their own words.
+	 * @param service the service
+	 * @param nowMs the steady clock
+	 * @return milliseconds; 0 if one takes them now, {@link StatedAbsences#NEVER} if
+	 * there is none that does not leave
+	 */
+	public long acceptsInMs(String service, long nowMs) {
+		return open(service).stream().mapToLong((state) -> state.acceptsInMs(nowMs)).min().orElse(StatedAbsences.NEVER);
 	}
 
 	/**
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
@@ -10,8 +10,8 @@
 /**
  * What one VM knows of one incarnation of an upstream.
  * <p>
- * Invariant: an incarnation that was seen to leave is never used again. Not thread-safe:
- * belongs to the directory's event loop.
+ * Invariant: an incarnation that has said that it leaves is never used again. Not
+ * thread-safe: belongs to the directory's event loop.
  *
  * @since 0.1
  */
@@ -35,9 +35,11 @@
 	/** A report older than this says nothing, in milliseconds. */
 	private static final long REPORT_TTL_MS = 1_000;
 
+	private final StatedAbsences absences;
+
 	private UpstreamEntry entry;
 
-	private boolean leaving;
+	private String incarnation;
 
 	private int inFlight;
 
@@ -57,8 +59,10 @@
 
 	private long warmFromMs;
 
-	UpstreamState(UpstreamEntry entry, long nowMs) {
+	UpstreamState(UpstreamEntry entry, StatedAbsences absences, long nowMs) {
+		this.absences = absences;
 		this.entry = entry;
+		this.incarnation = entry.incarnation();
 		this.name = RankedName.of(entry.id());
 		this.warmFromMs = nowMs + entry.coldMs();
 	}
@@ -78,6 +82,7 @@
 			this.warmFromMs = nowMs + fresh.coldMs();
 		}
 		this.entry = fresh;
+		this.incarnation = fresh.incarnation();
 	}
 
 	RankedName name() {
@@ -103,22 +108,27 @@
 		return coldMs(nowMs) > 0;
 	}
 
-	/** Take note that the upstream itself announced that it leaves. */
-	public void onLeaving() {
-		this.leaving = true;
-	}
-
 	/**
 	 * Return whether the upstream may get new work.
 	 * @param nowMs the steady clock
-	 * @return false if it leaves, or could not be reached lately
+	 * @return false if it leaves or rests, or could not be reached lately
 	 */
 	public boolean usable(long nowMs) {
-		return !gone() && nowMs >= this.ejectedUntilMs;
+		return acceptsInMs(nowMs) == 0 && nowMs >= this.ejectedUntilMs;
+	}
+
+	/**
+	 * Return when the upstream takes requests from this VM, by its own word.
+	 * @param nowMs the steady clock
+	 * @return milliseconds; 0 if it takes them now, {@link StatedAbsences#NEVER} if it
+	 * leaves
+	 */
+	public long acceptsInMs(long nowMs) {
+		return gone() ? StatedAbsences.NEVER : this.absences.restMs(this.incarnation, nowMs);
 	}
 
 	boolean gone() {
-		return this.leaving || this.entry.draining();
+		return this.entry.draining() || this.absences.leaves(this.incarnation);
 	}
 
 	/**
--- a/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/PoolDispatcherTests.java
@@ -234,7 +234,9 @@
 		this.dispatcher.updateWorkers(List.of(worker("w", "d", true)), Set.of());
 		ask(job("r", 0, 3_000, "d", SMALL));
 		assertTrue(this.dispatcher.nextCall(0).isEmpty());
+		assertEquals(this.heard.get(new PieceId("r", 0, 0)).status(), PieceOutcome.Status.NO_WORKER);
 		this.dispatcher.updateWorkers(List.of(worker("w2", "d", false)), Set.of());
+		ask(job("r", 0, 3_000, "d", SMALL));
 		assertEquals(this.dispatcher.nextCall(0).orElseThrow().worker().id(), "w2");
 	}
 
--- a/core/src/test/java/org/tallycart/core/pool/PoolWorkerChangesTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/PoolWorkerChangesTests.java
@@ -9,6 +9,7 @@
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.PoolSpec;
 import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.upstream.StatedAbsences;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -112,6 +113,11 @@
 				return !closed.contains(worker.id());
 			}
 
+			@Override
+			public long acceptsInMs(UpstreamEntry worker) {
+				return 0;
+			}
+
 			@Override
 			public void onCall(UpstreamEntry worker) {
 				called.add(worker.id());
@@ -129,6 +135,74 @@
 		assertEquals(called, List.of("w2", "w1"));
 	}
 
+	/** What workers say of themselves, as one VM knows it. */
+	private static CallLimit stated(StatedAbsences absences, long nowMs) {
+		return new CallLimit() {
+
+			@Override
+			public boolean mayCall(UpstreamEntry worker) {
+				return true;
+			}
+
+			@Override
+			public long acceptsInMs(UpstreamEntry worker) {
+				return absences.acceptsInMs(worker.incarnation(), nowMs);
+			}
+
+			@Override
+			public void onCall(UpstreamEntry worker) {
+				// Nothing is counted.
+			}
+
+		};
+	}
+
+	/** Pattern: of two workers one says that it leaves, or needs rest; pieces wait. */
+	@Test
+	void aWorkerThatLeavesOrRestsGetsNoCallAndPiecesGoToTheOther() {
+		StatedAbsences absences = new StatedAbsences();
+		PoolDispatcher pool = new PoolDispatcher(SPEC, stated(absences, 0));
+		UpstreamEntry leaving = worker("w1", "d1", 1);
+		UpstreamEntry other = worker("w2", "d1", 1);
+		pool.updateWorkers(List.of(leaving, other), Set.of());
+		absences.onLeaving(leaving.incarnation(), 0);
+		pool.ask(job("r1"), NOBODY);
+		assertEquals(pool.nextCall(0).orElseThrow().worker(), other);
+		pool.ask(job("r2"), NOBODY);
+		assertTrue(pool.nextCall(0).isEmpty(), "it waits for the other one");
+		assertEquals(pool.waiting(), 1);
+	}
+
+	/** Pattern: all workers need rest, and a failure domain of others is evacuated. */
+	@Test
+	void whereAllRestPiecesAreToldWhenTheFirstTakesCalls() {
+		StatedAbsences absences = new StatedAbsences();
+		PoolDispatcher pool = new PoolDispatcher(SPEC, stated(absences, 0));
+		List<PieceOutcome> heard = new ArrayList<>();
+		pool.ask(job("early"), (id, outcome) -> heard.add(outcome));
+		assertTrue(pool.nextCall(0).isEmpty());
+		assertEquals(heard, List.of(), "which workers there are is not known yet");
+		UpstreamEntry first = worker("w1", "d1", 1);
+		UpstreamEntry second = worker("w2", "d1", 1);
+		pool.updateWorkers(List.of(first, second, worker("w3", "d2", 1)), Set.of("d2"));
+		absences.onRest(first.incarnation(), 2_000, 0);
+		absences.onRest(second.incarnation(), 700, 0);
+		assertTrue(pool.nextCall(0).isEmpty());
+		assertEquals(heard, List.of(PieceOutcome.noWorker(700)));
+		assertEquals(pool.waiting(), 0);
+	}
+
+	/** Pattern: all workers of a pool have left before others take their place. */
+	@Test
+	void withoutAnyWorkerPiecesAreNotHeld() {
+		List<PieceOutcome> heard = new ArrayList<>();
+		this.dispatcher.updateWorkers(List.of(), Set.of());
+		this.dispatcher.ask(job("r1"), (id, outcome) -> heard.add(outcome));
+		assertTrue(this.dispatcher.nextCall(0).isEmpty());
+		assertEquals(heard.get(0).status(), PieceOutcome.Status.NO_WORKER);
+		assertTrue(heard.get(0).retryAfterMs() > 0);
+	}
+
 	private static PieceJob job(String request) {
 		return PieceJob.of(new PieceId(request, 0, 0), "pool").from("key", List.of()).needed(5_000, 9_000).build();
 	}
--- a/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
@@ -37,7 +37,7 @@
 				.at(new Address("10.0.0.1", i), "d" + i % 4)
 				.slots(128)
 				.build();
-			this.engines.add(new UpstreamState(entry, 0));
+			this.engines.add(new UpstreamState(entry, new StatedAbsences(), 0));
 		}
 	}
 
--- a/core/src/test/java/org/tallycart/core/upstream/ColdLimitTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ColdLimitTests.java
@@ -56,7 +56,7 @@
 				.slots(24)
 				.cold((i < cold) ? 3_000 : 0)
 				.build();
-			this.engines.add(new UpstreamState(entry, 0));
+			this.engines.add(new UpstreamState(entry, new StatedAbsences(), 0));
 		}
 	}
 
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -7,6 +7,7 @@
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.serving.UpstreamEntry;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -141,7 +142,8 @@
 		this.directory.put(started(1_000), 10);
 		UpstreamState former = state("a");
 		former.onUnreachable(20);
-		former.onLeaving();
+		this.directory.absences().onLeaving(former.entry().incarnation(), 20);
+		assertEquals(candidates(25), List.of("b"));
 		this.directory.put(started(2_000), 30);
 		assertNotSame(state("a"), former);
 		assertEquals(state("a").errorRate(), 0.0);
@@ -201,4 +203,60 @@
 		assertEquals(state("a").coldMs(5_500), 2_000);
 	}
 
+	/** Pattern: one that leaves ends, and another starts at its address. */
+	@Test
+	void theNextUpstreamAtAnAddressIsNotTheOneThatHasLeft() {
+		this.directory.absences().onLeaving("a", 10);
+		assertEquals(candidates(20), List.of("b"));
+		this.directory.remove("a", 30);
+		this.directory.put(UpstreamEntry.of("c", "s").at(new Address("10.0.0.1", 'a'), "d").slots(4).build(), 40);
+		assertEquals(candidates(50), List.of("b", "c"));
+	}
+
+	@DataProvider
+	static Object[][] words() {
+		return new Object[][] { { true }, { false } };
+	}
+
+	/** Pattern: the store forgets that one drains, and lists it as ready again. */
+	@Test(dataProvider = "words")
+	void anEntryThatComesBackAsReadyDoesNotTakeTheLeavingBack(boolean byEntry) {
+		if (byEntry) {
+			this.directory.put(entry("a", true), 10);
+		}
+		else {
+			this.directory.absences().onLeaving("a", 10);
+		}
+		this.directory.remove("a", 20);
+		this.directory.put(entry("a", false), 30);
+		assertEquals(candidates(40), List.of("b"));
+	}
+
+	@Test
+	void theRestingGetNothingUntilTheirRestIsOver() {
+		this.directory.absences().onRest("a", 1_000, 0);
+		assertEquals(candidates(999), List.of("b"));
+		assertEquals(candidates(1_000), List.of("a", "b"));
+	}
+
+	/** Pattern: all rest, or cannot be reached: those that rest are not tried instead. */
+	@Test
+	void whereTheOthersCannotBeReachedTheRestingGetNothingAllTheSame() {
+		this.directory.absences().onRest("a", 1_000, 0);
+		state("b").onUnreachable(0);
+		assertEquals(candidates(100), List.of("b"));
+		this.directory.absences().onRest("b", 400, 0);
+		assertEquals(candidates(100), List.of());
+		assertEquals(this.directory.acceptsInMs("s", 100), 300);
+	}
+
+	@Test
+	void whereAllLeaveNoneWillAcceptRequests() {
+		assertEquals(this.directory.acceptsInMs("s", 0), 0);
+		this.directory.absences().onLeaving("a", 0);
+		this.directory.put(entry("b", true), 0);
+		assertEquals(this.directory.acceptsInMs("s", 0), StatedAbsences.NEVER);
+		assertEquals(this.directory.acceptsInMs("none", 0), StatedAbsences.NEVER);
+	}
+
 }
--- a/node/src/main/java/org/tallycart/node/piece/HandleReturns.java
+++ b/node/src/main/java/org/tallycart/node/piece/HandleReturns.java
@@ -40,6 +40,12 @@
 	/** Calls that take longer are given up, in milliseconds. */
 	private static final long TIMEOUT_MS = 1_000;
 
+	/**
+	 * Results of a maker that rests for longer are not given back, in milliseconds: it
+	 * drops them before that.
+	 */
+	private static final long LONGEST_HOLD_MS = 10_000;
+
 	private final HttpClient http;
 
 	private final Loop loop;
@@ -80,16 +86,29 @@
 	private void flush() {
 		Map<Address, List<String>> all = new HashMap<>(this.collected);
 		this.collected.clear();
-		all.forEach(this::send);
+		all.forEach(this::sendOrHold);
 	}
 
-	private void send(Address maker, List<String> handles) {
+	// A maker that rests wants no call of any kind; it gets no pieces meanwhile either,
+	// so
+	// nobody waits for the room.
+	private void sendOrHold(Address maker, List<String> handles) {
 		Optional<UpstreamState> present = this.directory.at(maker);
 		if (present.isEmpty()) {
 			return;
 		}
+		long restMs = this.directory.absences().restMs(present.get().entry().incarnation(), this.loop.nowMs());
+		if (restMs == 0) {
+			send(present.get(), maker, handles);
+		}
+		else if (restMs <= LONGEST_HOLD_MS) {
+			this.loop.after(restMs, () -> sendOrHold(maker, handles));
+		}
+	}
+
+	private void send(UpstreamState present, Address maker, List<String> handles) {
 		HttpExchange exchange = HttpExchange
-			.to(present.get().entry().incarnation(), maker, PieceCodec.freeHead(present.get().entry()))
+			.to(present.entry().incarnation(), maker, PieceCodec.freeHead(present.entry()))
 			.body(PieceCodec.freeBody(handles))
 			.build();
 		WholeReplyCall.start(this.http, this.loop.executor(), exchange, TIMEOUT_MS, (outcome) -> {
--- a/node/src/main/java/org/tallycart/node/piece/PieceWire.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceWire.java
@@ -57,6 +57,7 @@
 			.setPiece(id.piece())
 			.setStatus(PieceAnswer.Status.valueOf(outcome.status().name()))
 			.setHandle(outcome.handle())
+			.setRetryAfterMs(outcome.retryAfterMs())
 			.build();
 	}
 
@@ -81,6 +82,7 @@
 			case LATE -> PieceOutcome.notMade(PieceOutcome.Status.LATE);
 			case INPUT_GONE -> PieceOutcome.notMade(PieceOutcome.Status.INPUT_GONE);
 			case NO_ROOM -> PieceOutcome.notMade(PieceOutcome.Status.NO_ROOM);
+			case NO_WORKER -> PieceOutcome.noWorker(answer.getRetryAfterMs());
 			case FAILED, INPUTS_READ, HANDED_BACK, UNRECOGNIZED -> PieceOutcome.notMade(PieceOutcome.Status.FAILED);
 		};
 	}
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -34,14 +34,6 @@
 	 */
 	private static final long ANSWER_MS = 15;
 
-	/** When a caller may come again after its pool was too busy, in milliseconds. */
-	private static final long BUSY_RETRY_MS = 400;
-
-	/**
-	 * When a caller may come again after no upstream could be reached, in milliseconds.
-	 */
-	private static final long UNREACHABLE_RETRY_MS = 250;
-
 	/** Least time left for another send to be of use, in milliseconds. */
 	private static final long LEAST_SEND_MS = 30;
 
@@ -69,6 +61,8 @@
 
 	private final UpstreamPicker picker;
 
+	private final ReturnTimes returns;
+
 	private List<String> inputs = List.of();
 
 	private @Nullable Attempt attempt;
@@ -95,6 +89,7 @@
 		this.responder = responder;
 		this.stages = new StageWork(serving, plan, this);
 		this.picker = new UpstreamPicker(serving, plan, this);
+		this.returns = new ReturnTimes(serving, plan);
 		this.events = new EventSplitter(plan.request().lastEventId());
 	}
 
@@ -111,9 +106,13 @@
 			onQuarantined();
 			return;
 		}
+		if (this.returns.acceptsInMs() > this.stages.expectedMs()) {
+			giveUp("all its upstreams rest or leave");
+			return;
+		}
 		long excessMs = this.stages.expectedExcessMs(this.plan.beginsByMs());
 		if (excessMs > 0) {
-			giveUp(excessMs + BUSY_RETRY_MS, "stage work is expected to be " + excessMs + " ms late");
+			giveUp(excessMs + ReturnTimes.BUSY_MS, "stage work is expected to be " + excessMs + " ms late");
 			return;
 		}
 		this.stages.start();
@@ -147,9 +146,9 @@
 	}
 
 	@Override
-	public void onNotMade(PieceOutcome.Status status) {
+	public void onNotMade(PieceOutcome outcome) {
 		if (!this.finished) {
-			giveUp(BUSY_RETRY_MS, "stage work: " + status);
+			giveUp(this.returns.afterPieceMs(outcome), "stage work: " + outcome.status());
 		}
 	}
 
@@ -188,9 +187,13 @@
 
 	@Override
 	public void onNonePicked() {
+		if (this.returns.acceptsInMs() > 0) {
+			giveUp("all its upstreams rest or leave");
+			return;
+		}
 		long turnInMs = this.picker.turnInMs();
 		if (turnInMs > 0) {
-			giveUp(Math.max(turnInMs, UNREACHABLE_RETRY_MS), "its upstreams take no more now");
+			giveUp(Math.max(turnInMs, ReturnTimes.UNREACHABLE_MS), "its upstreams take no more now");
 			return;
 		}
 		long warmInMs = this.serving.directory()
@@ -200,7 +203,7 @@
 			.min()
 			.orElse(0);
 		if (warmInMs > 0) {
-			giveUp(Math.max(warmInMs, UNREACHABLE_RETRY_MS), "its upstreams are cold");
+			giveUp(Math.max(warmInMs, ReturnTimes.UNREACHABLE_MS), "its upstreams are cold");
 		}
 		else {
 			giveUp("no upstream");
@@ -335,7 +338,7 @@
 	}
 
 	private void giveUp(String reason) {
-		giveUp(UNREACHABLE_RETRY_MS, reason);
+		giveUp(this.returns.againInMs(), reason);
 	}
 
 	private void giveUp(long retryAfterMs, String reason) {
@@ -355,7 +358,7 @@
 			answer(CallerAnswer.TIME_OVER, "time is over");
 		}
 		else {
-			giveUp(BUSY_RETRY_MS, "time is over before it ran");
+			giveUp(ReturnTimes.BUSY_MS, "time is over before it ran");
 		}
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/StageWork.java
+++ b/node/src/main/java/org/tallycart/node/request/StageWork.java
@@ -64,11 +64,19 @@
 	 * @return milliseconds; 0 or less if it will be met
 	 */
 	long expectedExcessMs(long byMs) {
-		long workMs = this.stages
-			.longestMs((stage) -> this.serving.pieces().expectedMs(service(stage), this.plan.rank().order()));
+		long workMs = expectedMs();
 		return (workMs > 0) ? this.serving.loop().nowMs() + workMs + engineMs() - byMs : 0;
 	}
 
+	/**
+	 * Return how long the work will probably take, as it goes at present.
+	 * @return milliseconds; 0 where there is none
+	 */
+	long expectedMs() {
+		return this.stages
+			.longestMs((stage) -> this.serving.pieces().expectedMs(service(stage), this.plan.rank().order()));
+	}
+
 	void start() {
 		if (this.engineDomain.isEmpty()) {
 			this.engineDomain = findEngineDomain();
@@ -176,7 +184,7 @@
 			}
 		}
 		else if (wanted) {
-			onNotMade(id, outcome.status());
+			onNotMade(id, outcome);
 		}
 	}
 
@@ -186,13 +194,13 @@
 		start();
 	}
 
-	private void onNotMade(PieceId id, PieceOutcome.Status status) {
+	private void onNotMade(PieceId id, PieceOutcome outcome) {
 		this.serving.log()
 			.request(EventCode.PIECE_NOT_MADE, id.requestId(), "stage", id.stage(), "piece", id.piece(), "reason",
-					status);
-		boolean again = status == PieceOutcome.Status.INPUT_GONE && remake();
+					outcome.status());
+		boolean again = outcome.status() == PieceOutcome.Status.INPUT_GONE && remake();
 		if (!again) {
-			this.owner.onNotMade(status);
+			this.owner.onNotMade(outcome);
 		}
 	}
 
@@ -246,9 +254,9 @@
 
 		/**
 		 * Take note that the pieces cannot be made.
-		 * @param status why
+		 * @param outcome why, and when they may be asked for again where that is known
 		 */
-		void onNotMade(PieceOutcome.Status status);
+		void onNotMade(PieceOutcome outcome);
 
 	}
 
--- a/node/src/main/java/org/tallycart/node/statement/PermitService.java
+++ b/node/src/main/java/org/tallycart/node/statement/PermitService.java
@@ -149,7 +149,7 @@
 	private void askAt(String holder, String incarnation, long patienceMs, Consumer<Permit> asker) {
 		long number = ++this.lastNumber;
 		this.pending.put(number, new Pending(holder, asker));
-		Envelope.Builder ask = LimitWire.ask(number, this.statements.encoded(incarnation), patienceMs);
+		Envelope.Builder ask = StatementWire.ask(number, this.statements.encoded(incarnation), patienceMs);
 		this.mesh.ifPresent((peers) -> peers.send(holder, ask));
 		this.loop.after(ANSWER_MS, () -> settle(number, Permit.denied(UNKNOWN_MS)));
 	}
@@ -180,6 +180,11 @@
 				share(Duty.dispatch(worker.service())), this.loop.nowMs());
 	}
 
+	@Override
+	public long acceptsInMs(UpstreamEntry worker) {
+		return this.statements.acceptsInMs(worker);
+	}
+
 	@Override
 	public void onCall(UpstreamEntry worker) {
 		grant(worker.incarnation(), Duty.dispatch(worker.service()), 0);
@@ -203,7 +208,7 @@
 		boolean grantsHere = holder().filter(this.vm::equals).isPresent();
 		Permit permit = grantsHere ? grant(incarnation, Duty.GRANT, Integer.toUnsignedLong(ask.getPatienceMs()))
 				: Permit.denied(UNKNOWN_MS);
-		Envelope.Builder answer = LimitWire.answer(ask.getNumber(), permit, this.statements.encoded(incarnation));
+		Envelope.Builder answer = StatementWire.answer(ask.getNumber(), permit, this.statements.encoded(incarnation));
 		this.mesh.ifPresent((peers) -> peers.answer(from, answer));
 	}
 
--- a/node/src/main/java/org/tallycart/node/statement/LimitWire.java
+++ b/node/src/main/java/org/tallycart/node/statement/StatementWire.java
@@ -1,5 +1,6 @@
 package org.tallycart.node.statement;
 
+import java.util.Collection;
 import java.util.Map;
 import java.util.OptionalDouble;
 
@@ -9,23 +10,23 @@
 import org.tallycart.wire.message.Envelope;
 import org.tallycart.wire.message.LimitAnswer;
 import org.tallycart.wire.message.LimitAsk;
-import org.tallycart.wire.message.LimitNotice;
+import org.tallycart.wire.message.StatementNotice;
 import org.tallycart.wire.message.UpstreamLimit;
 
 /**
- * Translates limits of upstreams to and from the messages between VMs.
+ * Translates what upstreams have said of themselves to and from the messages between VMs.
  * <p>
  * Thread-safe: holds no state.
  */
-final class LimitWire {
+final class StatementWire {
 
-	private LimitWire() {
+	private StatementWire() {
 	}
 
-	static Envelope.Builder notice(Map<String, NamedLimits.Named> limits) {
-		LimitNotice.Builder notice = LimitNotice.newBuilder();
+	static Envelope.Builder notice(Map<String, NamedLimits.Named> limits, Collection<String> leaving) {
+		StatementNotice.Builder notice = StatementNotice.newBuilder().addAllLeaving(leaving);
 		limits.forEach((incarnation, named) -> notice.addLimits(encode(incarnation, named)));
-		return Envelope.newBuilder().setLimitNotice(notice);
+		return Envelope.newBuilder().setStatementNotice(notice);
 	}
 
 	static Envelope.Builder ask(long number, UpstreamLimit limit, long patienceMs) {
--- a/node/src/main/java/org/tallycart/node/statement/UpstreamStatements.java
+++ b/node/src/main/java/org/tallycart/node/statement/UpstreamStatements.java
@@ -27,10 +27,10 @@
 import org.tallycart.wire.message.UpstreamLimit;
 
 /**
- * What upstreams say of themselves in their replies. The limits that they name are known
- * at all VMs: whichever VM hears one tells the others at once; a VM that starts is told
- * before it learns which upstreams there are. The platform's store is not needed for it.
- * That an upstream leaves, or needs rest, is kept by the directory of upstreams.
+ * What upstreams say of themselves in their replies. The limits that they name, and that
+ * they leave, is known at all VMs: whichever VM hears it tells the others at once; a VM
+ * that starts is told before it learns which upstreams there are. The platform's store is
+ * not needed for it, and may be away. A rest is asked of one VM, and no other is told.
  * <p>
  * Not thread-safe: belongs to the event loop.
  *
@@ -141,9 +141,15 @@
 	private void onLeaving(String incarnation, String by) {
 		if (this.absences.onLeaving(incarnation, this.loop.nowMs())) {
 			this.log.event(EventCode.UPSTREAM_LEAVES, "upstream", incarnation, "by", by);
+			spread(StatementWire.notice(Map.of(), Set.of(incarnation)));
 		}
 	}
 
+	private void spread(Envelope.Builder news) {
+		this.spread.tellAbove(news.clone());
+		this.spread.tellBelow(news);
+	}
+
 	private void onRest(UpstreamEntry upstream, long ms) {
 		if (this.absences.onRest(upstream.incarnation(), ms, this.loop.nowMs())) {
 			this.log.event(EventCode.UPSTREAM_RESTS, "upstream", upstream.incarnation(), "ms", ms);
@@ -164,17 +170,23 @@
 		this.log.event(EventCode.UPSTREAM_LIMIT_CHANGED, "upstream", incarnation, "by", by, "per_second",
 				text(fresh.perSecond()), "before", text(before));
 		this.onDuties.run();
-		Envelope.Builder notice = LimitWire.notice(Map.of(incarnation, fresh));
-		this.spread.tellAbove(notice.clone());
-		this.spread.tellBelow(notice);
+		spread(StatementWire.notice(Map.of(incarnation, fresh), Set.of()));
 	}
 
 	private void tellAll(String follower) {
-		if (!this.named.isEmpty()) {
-			this.spread.tell(follower, LimitWire.notice(this.named.all()));
+		if (knowsNews()) {
+			this.spread.tell(follower, all());
 		}
 	}
 
+	private boolean knowsNews() {
+		return !this.named.isEmpty() || !this.absences.leaving().isEmpty();
+	}
+
+	private Envelope.Builder all() {
+		return StatementWire.notice(this.named.all(), this.absences.leaving());
+	}
+
 	/**
 	 * Take note that a request is sent. To be called for each.
 	 * @param upstream where
@@ -213,12 +225,12 @@
 
 	// What is known of an upstream, for a message.
 	UpstreamLimit encoded(String incarnation) {
-		return LimitWire.encode(incarnation, this.named.known(incarnation));
+		return StatementWire.encode(incarnation, this.named.known(incarnation));
 	}
 
 	// What another VM knows of an upstream.
 	void learn(String from, UpstreamLimit limit) {
-		hear(limit.getIncarnation(), LimitWire.decode(limit), from);
+		hear(limit.getIncarnation(), StatementWire.decode(limit), from);
 	}
 
 	/**
@@ -269,26 +281,22 @@
 		Set<String> listed = this.directory.incarnations();
 		this.unreadable.keySet().retainAll(listed);
 		this.absences.expire(listed::contains, this.loop.nowMs());
-		if (!this.named.isEmpty()) {
-			tickLimits(listed);
-		}
-	}
-
-	private void tickLimits(Set<String> listed) {
+		boolean limited = !this.named.isEmpty();
 		this.named.expire(listed::contains, this.loop.nowMs());
-		if (this.spread.takeChange()) {
-			this.spread.tellAbove(LimitWire.notice(this.named.all()));
+		if (knowsNews() && this.spread.takeChange()) {
+			this.spread.tellAbove(all());
 		}
-		if (this.named.isEmpty()) {
+		if (limited && this.named.isEmpty()) {
 			this.onDuties.run();
 		}
 	}
 
 	@Override
 	public void onMessage(String from, Envelope message) {
-		if (message.hasLimitNotice()) {
+		if (message.hasStatementNotice()) {
 			this.spread.onTold(from);
-			message.getLimitNotice().getLimitsList().forEach((limit) -> learn(from, limit));
+			message.getStatementNotice().getLimitsList().forEach((limit) -> learn(from, limit));
+			message.getStatementNotice().getLeavingList().forEach((incarnation) -> onLeaving(incarnation, from));
 		}
 	}
 
--- a/node/src/test/java/org/tallycart/node/UpstreamAbsenceTests.java
+++ b/node/src/test/java/org/tallycart/node/UpstreamAbsenceTests.java
@@ -125,7 +125,15 @@
 	}
 
 	private static long arrivals(UpstreamStandin upstream, long fromMs, long untilMs) {
-		return upstream.arrivalsMs().stream().filter((at) -> at >= fromMs && at < untilMs).count();
+		return within(upstream.arrivalsMs(), fromMs, untilMs);
+	}
+
+	private static long within(List<Long> timesMs, long fromMs, long untilMs) {
+		return timesMs.stream().filter((at) -> at >= fromMs && at < untilMs).count();
+	}
+
+	private long arrivals(String service) {
+		return all(service).stream().mapToLong((upstream) -> upstream.arrivalsMs().size()).sum();
 	}
 
 	private static void assertGetsNothing(UpstreamStandin upstream) {
@@ -135,7 +143,7 @@
 	}
 
 	/** Pattern: one upstream of two leaves while the store is away. */
-	@Test(dataProvider = "services", groups = "known-red")
+	@Test(dataProvider = "services")
 	void anUpstreamThatLeavesGetsNothingNewWhileTheStoreIsAway(String service, String path, String fields) {
 		this.store.setDown(true);
 		startCallers(true, path, fields);
@@ -146,7 +154,7 @@
 	}
 
 	/** Pattern: it leaves without a word in its entry, and every request fails there. */
-	@Test(groups = "known-red")
+	@Test
 	void itIsBelievedInAnswersThatAreFailuresToo() {
 		setFault("plain", UpstreamStandin.Fault.ERROR);
 		startCallers(true, "/plain/x", KEY);
@@ -156,7 +164,7 @@
 	}
 
 	/** Pattern: its entry goes and comes back as ready, as from an older copy. */
-	@Test(groups = "known-red")
+	@Test
 	void anEntryThatComesBackDoesNotTakeItBack() {
 		startCallers(true, "/plain/x", KEY);
 		upstream("plain").sayLeaving("1");
@@ -167,14 +175,18 @@
 		assertGetsNothing(upstream("plain"));
 	}
 
-	/** Pattern: one VM hears it, callers come to another, or to one that starts later. */
-	@Test(groups = "known-red")
+	/**
+	 * Pattern: one VM hears it, callers come to another, and to one that has started
+	 * later and has found the others.
+	 */
+	@Test
 	void allVmsKnowItAlsoThoseThatStartLater() {
 		upstream("plain").sayLeaving("1");
 		await(() -> call(this.nodes.get(0), "/plain/x", KEY).contains("Server-Leaving"));
 		pause(DRAIN_MS / 2);
 		Node late = Node.start(settings("vm-late"), 0).get();
 		this.nodes.add(late);
+		await(() -> metrics(late).contains("upstreams_leaving 1"));
 		await(() -> ready(late));
 		long fromMs = steadyMs();
 		for (int i = 0; i < 20; i++) {
@@ -185,7 +197,7 @@
 	}
 
 	/** Pattern: one upstream of two refuses a VM and asks it for rest. */
-	@Test(dataProvider = "services", groups = "known-red")
+	@Test(dataProvider = "services")
 	void anUpstreamThatRestsIsLeftAloneAndUsedAgain(String service, String path, String fields) {
 		startCallers(false, path, fields);
 		UpstreamStandin resting = upstream(service);
@@ -195,10 +207,11 @@
 		await(() -> arrivals(resting, askedMs, steadyMs()) > 0);
 		pause(REST_MS);
 		long firstMs = resting.arrivalsMs().stream().filter((at) -> at >= askedMs).findFirst().orElseThrow();
-		long inRest = arrivals(resting, firstMs + REST_KEPT_FROM_MS, firstMs + REST_MS);
+		long inRest = within(resting.arrivalsMs(), firstMs + REST_KEPT_FROM_MS, firstMs + REST_MS);
 		assertTrue(inRest <= TOLERATED, inRest + " requests within a rest");
 		assertEquals(this.unserved.get(), 0, "the other one takes all");
-		assertEquals(resting.givenInRest(), 0, "results can be given back later");
+		long givenInRest = within(resting.givenInRestMs(), firstMs + REST_KEPT_FROM_MS, firstMs + REST_MS);
+		assertEquals(givenInRest, 0, "results can be given back later");
 		resting.endRest();
 		long endedMs = steadyMs();
 		await(() -> arrivals(resting, endedMs, steadyMs()) > 0);
@@ -222,7 +235,7 @@
 	}
 
 	/** Pattern: all upstreams of a service, or all workers of a pool, need rest. */
-	@Test(dataProvider = "services", groups = "known-red")
+	@Test(dataProvider = "services")
 	void whereAllRestCallersHearAtOnceWhenToComeBack(String service, String path, String fields) {
 		all(service).forEach((upstream) -> upstream.askForRest("20"));
 		Node node = this.nodes.get(0);
@@ -230,11 +243,12 @@
 			call(node, path, fields);
 			return all(service).stream().noneMatch((upstream) -> upstream.arrivalsMs().isEmpty());
 		});
+		long before = arrivals(service);
 		long fromMs = steadyMs();
 		String answer = call(node, path, fields);
 		assertTrue(steadyMs() - fromMs < HELD_MS, "held for " + (steadyMs() - fromMs) + " ms");
 		assertRefused(answer, 10, 21);
-		all(service).forEach((upstream) -> assertEquals(arrivals(upstream, fromMs, steadyMs()), 0));
+		assertEquals(arrivals(service), before, "nothing more was sent");
 	}
 
 	private static void assertRefused(String answer, double leastSeconds, double mostSeconds) {
@@ -246,7 +260,7 @@
 	}
 
 	/** Pattern: all upstreams of a service, or all workers of a pool, leave. */
-	@Test(dataProvider = "services", groups = "known-red")
+	@Test(dataProvider = "services")
 	void whereAllLeaveCallersHearAtOnceWhenToComeBack(String service, String path, String fields) {
 		all(service).forEach((upstream) -> upstream.sayLeaving("1"));
 		Node node = this.nodes.get(0);
@@ -254,15 +268,16 @@
 			call(node, path, fields);
 			return all(service).stream().noneMatch((upstream) -> upstream.arrivalsMs().isEmpty());
 		});
+		long before = arrivals(service);
 		long fromMs = steadyMs();
 		String answer = call(node, path, fields);
 		assertTrue(steadyMs() - fromMs < HELD_MS, "held for " + (steadyMs() - fromMs) + " ms");
 		assertRefused(answer, 0.2, 5);
-		all(service).forEach((upstream) -> assertEquals(arrivals(upstream, fromMs, steadyMs()), 0));
+		assertEquals(arrivals(service), before, "nothing more was sent");
 	}
 
 	/** Pattern: all engines rest, and a request would need stage work first. */
-	@Test(groups = "known-red")
+	@Test
 	void noStageWorkIsMadeForARequestThatNoEngineTakes() {
 		all("engine").forEach((engine) -> engine.askForRest("20"));
 		Node node = this.nodes.get(0);
--- a/wire/src/main/java/org/tallycart/wire/message/Envelope.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Envelope.java
@@ -85,7 +85,7 @@
     CRASH_CLEARED(47),
     QUARANTINE_NOTICE(48),
     CRASH_QUESTION(49),
-    LIMIT_NOTICE(50),
+    STATEMENT_NOTICE(50),
     LIMIT_ASK(51),
     LIMIT_ANSWER(52),
     BODY_NOT_SET(0);
@@ -131,7 +131,7 @@
         case 47: return CRASH_CLEARED;
         case 48: return QUARANTINE_NOTICE;
         case 49: return CRASH_QUESTION;
-        case 50: return LIMIT_NOTICE;
+        case 50: return STATEMENT_NOTICE;
         case 51: return LIMIT_ASK;
         case 52: return LIMIT_ANSWER;
         case 0: return BODY_NOT_SET;
@@ -1046,35 +1046,35 @@
     return org.tallycart.wire.message.CrashQuestion.getDefaultInstance();
   }
 
-  public static final int LIMIT_NOTICE_FIELD_NUMBER = 50;
+  public static final int STATEMENT_NOTICE_FIELD_NUMBER = 50;
   /**
-   * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
-   * @return Whether the limitNotice field is set.
+   * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
+   * @return Whether the statementNotice field is set.
    */
   @java.lang.Override
-  public boolean hasLimitNotice() {
+  public boolean hasStatementNotice() {
     return bodyCase_ == 50;
   }
   /**
-   * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
-   * @return The limitNotice.
+   * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
+   * @return The statementNotice.
    */
   @java.lang.Override
-  public org.tallycart.wire.message.LimitNotice getLimitNotice() {
+  public org.tallycart.wire.message.StatementNotice getStatementNotice() {
     if (bodyCase_ == 50) {
-       return (org.tallycart.wire.message.LimitNotice) body_;
+       return (org.tallycart.wire.message.StatementNotice) body_;
     }
-    return org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+    return org.tallycart.wire.message.StatementNotice.getDefaultInstance();
   }
   /**
-   * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+   * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
    */
   @java.lang.Override
-  public org.tallycart.wire.message.LimitNoticeOrBuilder getLimitNoticeOrBuilder() {
+  public org.tallycart.wire.message.StatementNoticeOrBuilder getStatementNoticeOrBuilder() {
     if (bodyCase_ == 50) {
-       return (org.tallycart.wire.message.LimitNotice) body_;
+       return (org.tallycart.wire.message.StatementNotice) body_;
     }
-    return org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+    return org.tallycart.wire.message.StatementNotice.getDefaultInstance();
   }
 
   public static final int LIMIT_ASK_FIELD_NUMBER = 51;
@@ -1247,7 +1247,7 @@
       output.writeMessage(49, (org.tallycart.wire.message.CrashQuestion) body_);
     }
     if (bodyCase_ == 50) {
-      output.writeMessage(50, (org.tallycart.wire.message.LimitNotice) body_);
+      output.writeMessage(50, (org.tallycart.wire.message.StatementNotice) body_);
     }
     if (bodyCase_ == 51) {
       output.writeMessage(51, (org.tallycart.wire.message.LimitAsk) body_);
@@ -1384,7 +1384,7 @@
     }
     if (bodyCase_ == 50) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(50, (org.tallycart.wire.message.LimitNotice) body_);
+        .computeMessageSize(50, (org.tallycart.wire.message.StatementNotice) body_);
     }
     return size;
   }
@@ -1540,8 +1540,8 @@
             .equals(other.getCrashQuestion())) return false;
         break;
       case 50:
-        if (!getLimitNotice()
-            .equals(other.getLimitNotice())) return false;
+        if (!getStatementNotice()
+            .equals(other.getStatementNotice())) return false;
         break;
       case 51:
         if (!getLimitAsk()
@@ -1685,8 +1685,8 @@
         hash = (53 * hash) + getCrashQuestion().hashCode();
         break;
       case 50:
-        hash = (37 * hash) + LIMIT_NOTICE_FIELD_NUMBER;
-        hash = (53 * hash) + getLimitNotice().hashCode();
+        hash = (37 * hash) + STATEMENT_NOTICE_FIELD_NUMBER;
+        hash = (53 * hash) + getStatementNotice().hashCode();
         break;
       case 51:
         hash = (37 * hash) + LIMIT_ASK_FIELD_NUMBER;
@@ -1918,8 +1918,8 @@
       if (crashQuestionBuilder_ != null) {
         crashQuestionBuilder_.clear();
       }
-      if (limitNoticeBuilder_ != null) {
-        limitNoticeBuilder_.clear();
+      if (statementNoticeBuilder_ != null) {
+        statementNoticeBuilder_.clear();
       }
       if (limitAskBuilder_ != null) {
         limitAskBuilder_.clear();
@@ -2093,8 +2093,8 @@
         result.body_ = crashQuestionBuilder_.build();
       }
       if (bodyCase_ == 50 &&
-          limitNoticeBuilder_ != null) {
-        result.body_ = limitNoticeBuilder_.build();
+          statementNoticeBuilder_ != null) {
+        result.body_ = statementNoticeBuilder_.build();
       }
       if (bodyCase_ == 51 &&
           limitAskBuilder_ != null) {
@@ -2240,8 +2240,8 @@
           mergeCrashQuestion(other.getCrashQuestion());
           break;
         }
-        case LIMIT_NOTICE: {
-          mergeLimitNotice(other.getLimitNotice());
+        case STATEMENT_NOTICE: {
+          mergeStatementNotice(other.getStatementNotice());
           break;
         }
         case LIMIT_ASK: {
@@ -2489,7 +2489,7 @@
             } // case 394
             case 402: {
               input.readMessage(
-                  internalGetLimitNoticeFieldBuilder().getBuilder(),
+                  internalGetStatementNoticeFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 50;
               break;
@@ -6406,69 +6406,69 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.tallycart.wire.message.LimitNotice, org.tallycart.wire.message.LimitNotice.Builder, org.tallycart.wire.message.LimitNoticeOrBuilder> limitNoticeBuilder_;
+        org.tallycart.wire.message.StatementNotice, org.tallycart.wire.message.StatementNotice.Builder, org.tallycart.wire.message.StatementNoticeOrBuilder> statementNoticeBuilder_;
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
-     * @return Whether the limitNotice field is set.
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
+     * @return Whether the statementNotice field is set.
      */
     @java.lang.Override
-    public boolean hasLimitNotice() {
+    public boolean hasStatementNotice() {
       return bodyCase_ == 50;
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
-     * @return The limitNotice.
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
+     * @return The statementNotice.
      */
     @java.lang.Override
-    public org.tallycart.wire.message.LimitNotice getLimitNotice() {
-      if (limitNoticeBuilder_ == null) {
+    public org.tallycart.wire.message.StatementNotice getStatementNotice() {
+      if (statementNoticeBuilder_ == null) {
         if (bodyCase_ == 50) {
-          return (org.tallycart.wire.message.LimitNotice) body_;
+          return (org.tallycart.wire.message.StatementNotice) body_;
         }
-        return org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+        return org.tallycart.wire.message.StatementNotice.getDefaultInstance();
       } else {
         if (bodyCase_ == 50) {
-          return limitNoticeBuilder_.getMessage();
+          return statementNoticeBuilder_.getMessage();
         }
-        return org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+        return org.tallycart.wire.message.StatementNotice.getDefaultInstance();
       }
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
-    public Builder setLimitNotice(org.tallycart.wire.message.LimitNotice value) {
-      if (limitNoticeBuilder_ == null) {
+    public Builder setStatementNotice(org.tallycart.wire.message.StatementNotice value) {
+      if (statementNoticeBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        limitNoticeBuilder_.setMessage(value);
+        statementNoticeBuilder_.setMessage(value);
       }
       bodyCase_ = 50;
       return this;
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
-    public Builder setLimitNotice(
-        org.tallycart.wire.message.LimitNotice.Builder builderForValue) {
-      if (limitNoticeBuilder_ == null) {
+    public Builder setStatementNotice(
+        org.tallycart.wire.message.StatementNotice.Builder builderForValue) {
+      if (statementNoticeBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        limitNoticeBuilder_.setMessage(builderForValue.build());
+        statementNoticeBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 50;
       return this;
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
-    public Builder mergeLimitNotice(org.tallycart.wire.message.LimitNotice value) {
-      if (limitNoticeBuilder_ == null) {
+    public Builder mergeStatementNotice(org.tallycart.wire.message.StatementNotice value) {
+      if (statementNoticeBuilder_ == null) {
         if (bodyCase_ == 50 &&
-            body_ != org.tallycart.wire.message.LimitNotice.getDefaultInstance()) {
-          body_ = org.tallycart.wire.message.LimitNotice.newBuilder((org.tallycart.wire.message.LimitNotice) body_)
+            body_ != org.tallycart.wire.message.StatementNotice.getDefaultInstance()) {
+          body_ = org.tallycart.wire.message.StatementNotice.newBuilder((org.tallycart.wire.message.StatementNotice) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -6476,19 +6476,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 50) {
-          limitNoticeBuilder_.mergeFrom(value);
+          statementNoticeBuilder_.mergeFrom(value);
         } else {
-          limitNoticeBuilder_.setMessage(value);
+          statementNoticeBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 50;
       return this;
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
-    public Builder clearLimitNotice() {
-      if (limitNoticeBuilder_ == null) {
+    public Builder clearStatementNotice() {
+      if (statementNoticeBuilder_ == null) {
         if (bodyCase_ == 50) {
           bodyCase_ = 0;
           body_ = null;
@@ -6499,50 +6499,50 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        limitNoticeBuilder_.clear();
+        statementNoticeBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
-    public org.tallycart.wire.message.LimitNotice.Builder getLimitNoticeBuilder() {
-      return internalGetLimitNoticeFieldBuilder().getBuilder();
+    public org.tallycart.wire.message.StatementNotice.Builder getStatementNoticeBuilder() {
+      return internalGetStatementNoticeFieldBuilder().getBuilder();
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
     @java.lang.Override
-    public org.tallycart.wire.message.LimitNoticeOrBuilder getLimitNoticeOrBuilder() {
-      if ((bodyCase_ == 50) && (limitNoticeBuilder_ != null)) {
-        return limitNoticeBuilder_.getMessageOrBuilder();
+    public org.tallycart.wire.message.StatementNoticeOrBuilder getStatementNoticeOrBuilder() {
+      if ((bodyCase_ == 50) && (statementNoticeBuilder_ != null)) {
+        return statementNoticeBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 50) {
-          return (org.tallycart.wire.message.LimitNotice) body_;
+          return (org.tallycart.wire.message.StatementNotice) body_;
         }
-        return org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+        return org.tallycart.wire.message.StatementNotice.getDefaultInstance();
       }
     }
     /**
-     * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+     * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.tallycart.wire.message.LimitNotice, org.tallycart.wire.message.LimitNotice.Builder, org.tallycart.wire.message.LimitNoticeOrBuilder> 
-        internalGetLimitNoticeFieldBuilder() {
-      if (limitNoticeBuilder_ == null) {
+        org.tallycart.wire.message.StatementNotice, org.tallycart.wire.message.StatementNotice.Builder, org.tallycart.wire.message.StatementNoticeOrBuilder> 
+        internalGetStatementNoticeFieldBuilder() {
+      if (statementNoticeBuilder_ == null) {
         if (!(bodyCase_ == 50)) {
-          body_ = org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+          body_ = org.tallycart.wire.message.StatementNotice.getDefaultInstance();
         }
-        limitNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.tallycart.wire.message.LimitNotice, org.tallycart.wire.message.LimitNotice.Builder, org.tallycart.wire.message.LimitNoticeOrBuilder>(
-                (org.tallycart.wire.message.LimitNotice) body_,
+        statementNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tallycart.wire.message.StatementNotice, org.tallycart.wire.message.StatementNotice.Builder, org.tallycart.wire.message.StatementNoticeOrBuilder>(
+                (org.tallycart.wire.message.StatementNotice) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 50;
       onChanged();
-      return limitNoticeBuilder_;
+      return statementNoticeBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
--- a/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
@@ -445,19 +445,19 @@
   org.tallycart.wire.message.CrashQuestionOrBuilder getCrashQuestionOrBuilder();
 
   /**
-   * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
-   * @return Whether the limitNotice field is set.
+   * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
+   * @return Whether the statementNotice field is set.
    */
-  boolean hasLimitNotice();
+  boolean hasStatementNotice();
   /**
-   * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
-   * @return The limitNotice.
+   * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
+   * @return The statementNotice.
    */
-  org.tallycart.wire.message.LimitNotice getLimitNotice();
+  org.tallycart.wire.message.StatementNotice getStatementNotice();
   /**
-   * <code>.tallycart.wire.LimitNotice limit_notice = 50;</code>
+   * <code>.tallycart.wire.StatementNotice statement_notice = 50;</code>
    */
-  org.tallycart.wire.message.LimitNoticeOrBuilder getLimitNoticeOrBuilder();
+  org.tallycart.wire.message.StatementNoticeOrBuilder getStatementNoticeOrBuilder();
 
   /**
    * <code>.tallycart.wire.LimitAsk limit_ask = 51;</code>
--- a/wire/src/main/java/org/tallycart/wire/message/PieceAnswer.java
+++ b/wire/src/main/java/org/tallycart/wire/message/PieceAnswer.java
@@ -92,6 +92,14 @@
      * <code>HANDED_BACK = 6;</code>
      */
     HANDED_BACK(6),
+    /**
+     * <pre>
+     * All workers of the pool leave or rest.
+     * </pre>
+     *
+     * <code>NO_WORKER = 7;</code>
+     */
+    NO_WORKER(7),
     UNRECOGNIZED(-1),
     ;
 
@@ -140,6 +148,14 @@
      * <code>HANDED_BACK = 6;</code>
      */
     public static final int HANDED_BACK_VALUE = 6;
+    /**
+     * <pre>
+     * All workers of the pool leave or rest.
+     * </pre>
+     *
+     * <code>NO_WORKER = 7;</code>
+     */
+    public static final int NO_WORKER_VALUE = 7;
 
 
     public final int getNumber() {
@@ -173,6 +189,7 @@
         case 4: return FAILED;
         case 5: return INPUTS_READ;
         case 6: return HANDED_BACK;
+        case 7: return NO_WORKER;
         default: return null;
       }
     }
@@ -347,6 +364,21 @@
     }
   }
 
+  public static final int RETRY_AFTER_MS_FIELD_NUMBER = 6;
+  private long retryAfterMs_ = 0L;
+  /**
+   * <pre>
+   * When the piece may be asked for again, where no worker takes calls.
+   * </pre>
+   *
+   * <code>uint64 retry_after_ms = 6;</code>
+   * @return The retryAfterMs.
+   */
+  @java.lang.Override
+  public long getRetryAfterMs() {
+    return retryAfterMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -376,6 +408,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(handle_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, handle_);
     }
+    if (retryAfterMs_ != 0L) {
+      output.writeUInt64(6, retryAfterMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -398,6 +433,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(handle_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, handle_);
     }
+    if (retryAfterMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, retryAfterMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -431,6 +470,8 @@
     if (status_ != other.status_) return false;
     if (!getHandle()
         .equals(other.getHandle())) return false;
+    if (getRetryAfterMs()
+        != other.getRetryAfterMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -452,6 +493,9 @@
     hash = (53 * hash) + status_;
     hash = (37 * hash) + HANDLE_FIELD_NUMBER;
     hash = (53 * hash) + getHandle().hashCode();
+    hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetryAfterMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -588,6 +632,7 @@
       piece_ = 0;
       status_ = 0;
       handle_ = "";
+      retryAfterMs_ = 0L;
       return this;
     }
 
@@ -636,6 +681,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.handle_ = handle_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.retryAfterMs_ = retryAfterMs_;
+      }
     }
 
     @java.lang.Override
@@ -669,6 +717,9 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getRetryAfterMs() != 0L) {
+        setRetryAfterMs(other.getRetryAfterMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -718,6 +769,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              retryAfterMs_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -995,6 +1051,50 @@
       return this;
     }
 
+    private long retryAfterMs_ ;
+    /**
+     * <pre>
+     * When the piece may be asked for again, where no worker takes calls.
+     * </pre>
+     *
+     * <code>uint64 retry_after_ms = 6;</code>
+     * @return The retryAfterMs.
+     */
+    @java.lang.Override
+    public long getRetryAfterMs() {
+      return retryAfterMs_;
+    }
+    /**
+     * <pre>
+     * When the piece may be asked for again, where no worker takes calls.
+     * </pre>
+     *
+     * <code>uint64 retry_after_ms = 6;</code>
+     * @param value The retryAfterMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMs(long value) {
+
+      retryAfterMs_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * When the piece may be asked for again, where no worker takes calls.
+     * </pre>
+     *
+     * <code>uint64 retry_after_ms = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMs() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      retryAfterMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.PieceAnswer)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/PieceAnswerOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/PieceAnswerOrBuilder.java
@@ -56,4 +56,14 @@
    */
   com.google.protobuf.ByteString
       getHandleBytes();
+
+  /**
+   * <pre>
+   * When the piece may be asked for again, where no worker takes calls.
+   * </pre>
+   *
+   * <code>uint64 retry_after_ms = 6;</code>
+   * @return The retryAfterMs.
+   */
+  long getRetryAfterMs();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/LimitNotice.java
+++ b/wire/src/main/java/org/tallycart/wire/message/StatementNotice.java
@@ -7,16 +7,16 @@
 
 /**
  * <pre>
- * To VMs that may not know: what upstreams have said last.
+ * To VMs that may not know: what upstreams have said of themselves.
  * </pre>
  *
- * Protobuf type {@code tallycart.wire.LimitNotice}
+ * Protobuf type {@code tallycart.wire.StatementNotice}
  */
 @com.google.protobuf.Generated
-public final class LimitNotice extends
+public final class StatementNotice extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:tallycart.wire.LimitNotice)
-    LimitNoticeOrBuilder {
+    // @@protoc_insertion_point(message_implements:tallycart.wire.StatementNotice)
+    StatementNoticeOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -25,32 +25,34 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "LimitNotice");
+      "StatementNotice");
   }
-  // Use LimitNotice.newBuilder() to construct.
-  private LimitNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use StatementNotice.newBuilder() to construct.
+  private StatementNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private LimitNotice() {
+  private StatementNotice() {
     limits_ = java.util.Collections.emptyList();
+    leaving_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_LimitNotice_descriptor;
+    return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_StatementNotice_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_LimitNotice_descriptor;
+    return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_StatementNotice_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_LimitNotice_fieldAccessorTable
+    return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_StatementNotice_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.tallycart.wire.message.LimitNotice.class, org.tallycart.wire.message.LimitNotice.Builder.class);
+            org.tallycart.wire.message.StatementNotice.class, org.tallycart.wire.message.StatementNotice.Builder.class);
   }
 
   public static final int LIMITS_FIELD_NUMBER = 1;
@@ -94,6 +96,59 @@
     return limits_.get(index);
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList leaving_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Incarnations that leave, which they never take back.
+   * </pre>
+   *
+   * <code>repeated string leaving = 2;</code>
+   * @return A list containing the leaving.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getLeavingList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * Incarnations that leave, which they never take back.
+   * </pre>
+   *
+   * <code>repeated string leaving = 2;</code>
+   * @return The count of leaving.
+   */
+  public int getLeavingCount() {
+    return leaving_.size();
+  }
+  /**
+   * <pre>
+   * Incarnations that leave, which they never take back.
+   * </pre>
+   *
+   * <code>repeated string leaving = 2;</code>
+   * @param index The index of the element to return.
+   * @return The leaving at the given index.
+   */
+  public java.lang.String getLeaving(int index) {
+    return leaving_.get(index);
+  }
+  /**
+   * <pre>
+   * Incarnations that leave, which they never take back.
+   * </pre>
+   *
+   * <code>repeated string leaving = 2;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the leaving at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getLeavingBytes(int index) {
+    return leaving_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -111,6 +166,9 @@
     for (int i = 0; i < limits_.size(); i++) {
       output.writeMessage(1, limits_.get(i));
     }
+    for (int i = 0; i < leaving_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, leaving_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -124,6 +182,14 @@
           }
           size += 1 * count;
         }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < leaving_.size(); i++) {
+        dataSize += computeStringSizeNoTag(leaving_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getLeavingList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -143,13 +209,15 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.tallycart.wire.message.LimitNotice)) {
+    if (!(obj instanceof org.tallycart.wire.message.StatementNotice)) {
       return super.equals(obj);
     }
-    org.tallycart.wire.message.LimitNotice other = (org.tallycart.wire.message.LimitNotice) obj;
+    org.tallycart.wire.message.StatementNotice other = (org.tallycart.wire.message.StatementNotice) obj;
 
     if (!getLimitsList()
         .equals(other.getLimitsList())) return false;
+    if (!getLeavingList()
+        .equals(other.getLeavingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -165,49 +233,53 @@
       hash = (37 * hash) + LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getLimitsList().hashCode();
     }
+    if (getLeavingCount() > 0) {
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + getLeavingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(byte[] data)
+  public static org.tallycart.wire.message.StatementNotice parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(java.io.InputStream input)
+  public static org.tallycart.wire.message.StatementNotice parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -215,26 +287,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.tallycart.wire.message.LimitNotice parseDelimitedFrom(java.io.InputStream input)
+  public static org.tallycart.wire.message.StatementNotice parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.tallycart.wire.message.LimitNotice parseDelimitedFrom(
+  public static org.tallycart.wire.message.StatementNotice parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.tallycart.wire.message.LimitNotice parseFrom(
+  public static org.tallycart.wire.message.StatementNotice parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -247,7 +319,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.tallycart.wire.message.LimitNotice prototype) {
+  public static Builder newBuilder(org.tallycart.wire.message.StatementNotice prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -264,29 +336,29 @@
   }
   /**
    * <pre>
-   * To VMs that may not know: what upstreams have said last.
+   * To VMs that may not know: what upstreams have said of themselves.
    * </pre>
    *
-   * Protobuf type {@code tallycart.wire.LimitNotice}
+   * Protobuf type {@code tallycart.wire.StatementNotice}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:tallycart.wire.LimitNotice)
-      org.tallycart.wire.message.LimitNoticeOrBuilder {
+      // @@protoc_insertion_point(builder_implements:tallycart.wire.StatementNotice)
+      org.tallycart.wire.message.StatementNoticeOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_LimitNotice_descriptor;
+      return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_StatementNotice_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_LimitNotice_fieldAccessorTable
+      return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_StatementNotice_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.tallycart.wire.message.LimitNotice.class, org.tallycart.wire.message.LimitNotice.Builder.class);
+              org.tallycart.wire.message.StatementNotice.class, org.tallycart.wire.message.StatementNotice.Builder.class);
     }
 
-    // Construct using org.tallycart.wire.message.LimitNotice.newBuilder()
+    // Construct using org.tallycart.wire.message.StatementNotice.newBuilder()
     private Builder() {
 
     }
@@ -307,23 +379,25 @@
         limitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      leaving_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_LimitNotice_descriptor;
+      return org.tallycart.wire.message.Wire.internal_static_tallycart_wire_StatementNotice_descriptor;
     }
 
     @java.lang.Override
-    public org.tallycart.wire.message.LimitNotice getDefaultInstanceForType() {
-      return org.tallycart.wire.message.LimitNotice.getDefaultInstance();
+    public org.tallycart.wire.message.StatementNotice getDefaultInstanceForType() {
+      return org.tallycart.wire.message.StatementNotice.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.tallycart.wire.message.LimitNotice build() {
-      org.tallycart.wire.message.LimitNotice result = buildPartial();
+    public org.tallycart.wire.message.StatementNotice build() {
+      org.tallycart.wire.message.StatementNotice result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -331,15 +405,15 @@
     }
 
     @java.lang.Override
-    public org.tallycart.wire.message.LimitNotice buildPartial() {
-      org.tallycart.wire.message.LimitNotice result = new org.tallycart.wire.message.LimitNotice(this);
+    public org.tallycart.wire.message.StatementNotice buildPartial() {
+      org.tallycart.wire.message.StatementNotice result = new org.tallycart.wire.message.StatementNotice(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.tallycart.wire.message.LimitNotice result) {
+    private void buildPartialRepeatedFields(org.tallycart.wire.message.StatementNotice result) {
       if (limitsBuilder_ == null) {
         if (((bitField0_ & 0x00000001) != 0)) {
           limits_ = java.util.Collections.unmodifiableList(limits_);
@@ -351,22 +425,26 @@
       }
     }
 
-    private void buildPartial0(org.tallycart.wire.message.LimitNotice result) {
+    private void buildPartial0(org.tallycart.wire.message.StatementNotice result) {
       int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        leaving_.makeImmutable();
+        result.leaving_ = leaving_;
+      }
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.tallycart.wire.message.LimitNotice) {
-        return mergeFrom((org.tallycart.wire.message.LimitNotice)other);
+      if (other instanceof org.tallycart.wire.message.StatementNotice) {
+        return mergeFrom((org.tallycart.wire.message.StatementNotice)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.tallycart.wire.message.LimitNotice other) {
-      if (other == org.tallycart.wire.message.LimitNotice.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.tallycart.wire.message.StatementNotice other) {
+      if (other == org.tallycart.wire.message.StatementNotice.getDefaultInstance()) return this;
       if (limitsBuilder_ == null) {
         if (!other.limits_.isEmpty()) {
           if (limits_.isEmpty()) {
@@ -393,6 +471,16 @@
           }
         }
       }
+      if (!other.leaving_.isEmpty()) {
+        if (leaving_.isEmpty()) {
+          leaving_ = other.leaving_;
+          bitField0_ |= 0x00000002;
+        } else {
+          ensureLeavingIsMutable();
+          leaving_.addAll(other.leaving_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -430,6 +518,11 @@
               }
               break;
             } // case 10
+            case 18: {
+              ensureLeavingIsMutable();
+              leaving_.add(input.readStringRequireUtf8());
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -681,23 +774,170 @@
       return limitsBuilder_;
     }
 
-    // @@protoc_insertion_point(builder_scope:tallycart.wire.LimitNotice)
+    private com.google.protobuf.LazyStringArrayList leaving_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureLeavingIsMutable() {
+      if (!leaving_.isModifiable()) {
+        leaving_ = new com.google.protobuf.LazyStringArrayList(leaving_);
+      }
+      bitField0_ |= 0x00000002;
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @return A list containing the leaving.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getLeavingList() {
+      leaving_.makeImmutable();
+      return leaving_;
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @return The count of leaving.
+     */
+    public int getLeavingCount() {
+      return leaving_.size();
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @param index The index of the element to return.
+     * @return The leaving at the given index.
+     */
+    public java.lang.String getLeaving(int index) {
+      return leaving_.get(index);
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the leaving at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getLeavingBytes(int index) {
+      return leaving_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @param index The index to set the value at.
+     * @param value The leaving to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaving(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureLeavingIsMutable();
+      leaving_.set(index, value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @param value The leaving to add.
+     * @return This builder for chaining.
+     */
+    public Builder addLeaving(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureLeavingIsMutable();
+      leaving_.add(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @param values The leaving to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllLeaving(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureLeavingIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, leaving_);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaving() {
+      leaving_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000002);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations that leave, which they never take back.
+     * </pre>
+     *
+     * <code>repeated string leaving = 2;</code>
+     * @param value The bytes of the leaving to add.
+     * @return This builder for chaining.
+     */
+    public Builder addLeavingBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureLeavingIsMutable();
+      leaving_.add(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:tallycart.wire.StatementNotice)
   }
 
-  // @@protoc_insertion_point(class_scope:tallycart.wire.LimitNotice)
-  private static final org.tallycart.wire.message.LimitNotice DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:tallycart.wire.StatementNotice)
+  private static final org.tallycart.wire.message.StatementNotice DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.tallycart.wire.message.LimitNotice();
+    DEFAULT_INSTANCE = new org.tallycart.wire.message.StatementNotice();
   }
 
-  public static org.tallycart.wire.message.LimitNotice getDefaultInstance() {
+  public static org.tallycart.wire.message.StatementNotice getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<LimitNotice>
-      PARSER = new com.google.protobuf.AbstractParser<LimitNotice>() {
+  private static final com.google.protobuf.Parser<StatementNotice>
+      PARSER = new com.google.protobuf.AbstractParser<StatementNotice>() {
     @java.lang.Override
-    public LimitNotice parsePartialFrom(
+    public StatementNotice parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -716,17 +956,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<LimitNotice> parser() {
+  public static com.google.protobuf.Parser<StatementNotice> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<LimitNotice> getParserForType() {
+  public com.google.protobuf.Parser<StatementNotice> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.tallycart.wire.message.LimitNotice getDefaultInstanceForType() {
+  public org.tallycart.wire.message.StatementNotice getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -257,10 +257,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tallycart_wire_UpstreamLimit_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_tallycart_wire_LimitNotice_descriptor;
+    internal_static_tallycart_wire_StatementNotice_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_tallycart_wire_LimitNotice_fieldAccessorTable;
+      internal_static_tallycart_wire_StatementNotice_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tallycart_wire_LimitAsk_descriptor;
   static final 
@@ -280,7 +280,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\016tallycart.wire\"\344\014\n\010Envelop" +
+      "\n\nwire.proto\022\016tallycart.wire\"\354\014\n\010Envelop" +
       "e\022\023\n\013correlation\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\r\n" +
       "\005clock\030\003 \001(\006\022\021\n\tsender_vm\030\004 \001(\t\022\032\n\022sende" +
       "r_incarnation\030\005 \001(\004\022.\n\theartbeat\030\n \001(\0132\031" +
@@ -317,121 +317,123 @@
       "lycart.wire.CrashClearedH\000\022=\n\021quarantine" +
       "_notice\0300 \001(\0132 .tallycart.wire.Quarantin" +
       "eNoticeH\000\0227\n\016crash_question\0301 \001(\0132\035.tall" +
-      "ycart.wire.CrashQuestionH\000\0223\n\014limit_noti" +
-      "ce\0302 \001(\0132\033.tallycart.wire.LimitNoticeH\000\022" +
-      "-\n\tlimit_ask\0303 \001(\0132\030.tallycart.wire.Limi" +
-      "tAskH\000\0223\n\014limit_answer\0304 \001(\0132\033.tallycart" +
-      ".wire.LimitAnswerH\000B\006\n\004body\"\'\n\003Ack\022\020\n\010ac" +
-      "cepted\030\001 \001(\010\022\016\n\006detail\030\002 \001(\t\"0\n\017Register" +
-      "Version\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\"N" +
-      "\n\tPeerBrief\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\004\022\020\n\010draining\030\003 \001(\010\022\016\n\006age_ms\030\004 \001(\r\"\223" +
-      "\001\n\tHeartbeat\022\020\n\010draining\030\001 \001(\010\0222\n\tregist" +
-      "ers\030\002 \003(\0132\037.tallycart.wire.RegisterVersi" +
-      "on\022\026\n\016leaving_digest\030\003 \001(\006\022(\n\005peers\030\004 \003(" +
-      "\0132\031.tallycart.wire.PeerBrief\"<\n\013PullRequ" +
-      "est\022-\n\004have\030\001 \003(\0132\037.tallycart.wire.Regis" +
-      "terVersion\"=\n\rRegisterValue\022\014\n\004name\030\001 \001(" +
-      "\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\":\n\tPul" +
-      "lReply\022-\n\006values\030\001 \003(\0132\035.tallycart.wire." +
-      "RegisterValue\"\036\n\013BlobRequest\022\017\n\007digests\030" +
-      "\001 \003(\t\"%\n\004Blob\022\016\n\006digest\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\014\"0\n\tBlobReply\022#\n\005blobs\030\001 \003(\0132\024.tally" +
-      "cart.wire.Blob\"\"\n\rLeavingNotice\022\021\n\tupstr" +
-      "eams\030\001 \003(\t\"*\n\010Claimant\022\n\n\002vm\030\001 \001(\t\022\022\n\nat" +
-      "tempt_id\030\002 \001(\t\"X\n\tClaimCall\022\013\n\003key\030\001 \001(\t" +
-      "\022*\n\010claimant\030\002 \001(\0132\030.tallycart.wire.Clai" +
-      "mant\022\022\n\nknown_term\030\003 \001(\004\"\351\001\n\013ClaimAnswer" +
-      "\0222\n\006status\030\001 \001(\0162\".tallycart.wire.ClaimA" +
-      "nswer.Status\022\014\n\004term\030\002 \001(\004\022(\n\006holder\030\003 \001" +
-      "(\0132\030.tallycart.wire.Claimant\022\016\n\006result\030\004" +
-      " \001(\014\"^\n\006Status\022\r\n\tNOT_OWNER\020\000\022\013\n\007GRANTED" +
-      "\020\001\022\010\n\004HELD\020\002\022\014\n\010FINISHED\020\003\022\023\n\017BEFORE_TAK" +
-      "EOVER\020\004\022\013\n\007EXPIRED\020\005\"V\n\013ClaimFinish\022\013\n\003k" +
+      "ycart.wire.CrashQuestionH\000\022;\n\020statement_" +
+      "notice\0302 \001(\0132\037.tallycart.wire.StatementN" +
+      "oticeH\000\022-\n\tlimit_ask\0303 \001(\0132\030.tallycart.w" +
+      "ire.LimitAskH\000\0223\n\014limit_answer\0304 \001(\0132\033.t" +
+      "allycart.wire.LimitAnswerH\000B\006\n\004body\"\'\n\003A" +
+      "ck\022\020\n\010accepted\030\001 \001(\010\022\016\n\006detail\030\002 \001(\t\"0\n\017" +
+      "RegisterVersion\022\014\n\004name\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\004\"N\n\tPeerBrief\022\n\n\002vm\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\004\022\020\n\010draining\030\003 \001(\010\022\016\n\006age_ms" +
+      "\030\004 \001(\r\"\223\001\n\tHeartbeat\022\020\n\010draining\030\001 \001(\010\0222" +
+      "\n\tregisters\030\002 \003(\0132\037.tallycart.wire.Regis" +
+      "terVersion\022\026\n\016leaving_digest\030\003 \001(\006\022(\n\005pe" +
+      "ers\030\004 \003(\0132\031.tallycart.wire.PeerBrief\"<\n\013" +
+      "PullRequest\022-\n\004have\030\001 \003(\0132\037.tallycart.wi" +
+      "re.RegisterVersion\"=\n\rRegisterValue\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(" +
+      "\014\":\n\tPullReply\022-\n\006values\030\001 \003(\0132\035.tallyca" +
+      "rt.wire.RegisterValue\"\036\n\013BlobRequest\022\017\n\007" +
+      "digests\030\001 \003(\t\"%\n\004Blob\022\016\n\006digest\030\001 \001(\t\022\r\n" +
+      "\005value\030\002 \001(\014\"0\n\tBlobReply\022#\n\005blobs\030\001 \003(\013" +
+      "2\024.tallycart.wire.Blob\"\"\n\rLeavingNotice\022" +
+      "\021\n\tupstreams\030\001 \003(\t\"*\n\010Claimant\022\n\n\002vm\030\001 \001" +
+      "(\t\022\022\n\nattempt_id\030\002 \001(\t\"X\n\tClaimCall\022\013\n\003k" +
       "ey\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tallycart.w" +
-      "ire.Claimant\022\016\n\006result\030\003 \001(\014\"G\n\014ClaimRel" +
-      "ease\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.ta" +
-      "llycart.wire.Claimant\"e\n\nClaimEntry\022\013\n\003k" +
-      "ey\030\001 \001(\t\022(\n\006holder\030\002 \001(\0132\030.tallycart.wir" +
-      "e.Claimant\022\016\n\006result\030\003 \001(\014\022\020\n\010finished\030\004" +
-      " \001(\010\"m\n\nSlotClaims\022\014\n\004slot\030\001 \001(\r\022\014\n\004term" +
-      "\030\002 \001(\004\022\027\n\017refuse_until_ms\030\003 \001(\022\022*\n\006claim" +
-      "s\030\004 \003(\0132\032.tallycart.wire.ClaimEntry\"K\n\014H" +
-      "andoverCall\022)\n\005slots\030\001 \003(\0132\032.tallycart.w" +
-      "ire.SlotClaims\022\020\n\010sequence\030\002 \001(\004\"\013\n\tSubs" +
-      "cribe\"\362\001\n\013StateUpdate\022\026\n\016config_version\030" +
-      "\001 \001(\004\022#\n\005parts\030\002 \003(\0132\024.tallycart.wire.Bl" +
-      "ob\022*\n\tpart_refs\030\003 \003(\0132\027.tallycart.wire.P" +
-      "artRef\022\025\n\rslots_version\030\004 \001(\004\022\r\n\005slots\030\005" +
-      " \001(\t\022\023\n\013vms_version\030\006 \001(\004\022\013\n\003vms\030\007 \001(\t\022\017" +
-      "\n\007leaving\030\010 \003(\t\022\022\n\nactive_vms\030\t \001(\r\022\r\n\005r" +
-      "eady\030\n \001(\010\"\'\n\007PartRef\022\014\n\004name\030\001 \001(\t\022\016\n\006d" +
-      "igest\030\002 \001(\t\"o\n\013ShareDemand\022\021\n\tworkspace\030" +
-      "\001 \001(\t\022\031\n\021demand_per_second\030\002 \001(\001\022\030\n\020limi" +
-      "t_per_second\030\003 \001(\001\022\030\n\020holds_per_second\030\004" +
-      " \001(\001\";\n\013ShareReport\022,\n\007demands\030\001 \003(\0132\033.t" +
-      "allycart.wire.ShareDemand\"8\n\nShareGrant\022" +
-      "\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_second\030\002 " +
-      "\001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003(\0132\032.tal" +
-      "lycart.wire.ShareGrant\"Q\n\014FeedRevision\022\"" +
-      "\n\004feed\030\001 \001(\0162\024.tallycart.wire.Feed\022\020\n\010re" +
-      "vision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\"\226\001\n\010NodeBeat\022\016" +
-      "\n\006answer\030\001 \001(\010\022\020\n\010draining\030\002 \001(\010\022\022\n\nsubs" +
-      "cribes\030\003 \001(\010\022+\n\005known\030\004 \003(\0132\034.tallycart." +
-      "wire.FeedRevision\022\021\n\tpasses_on\030\005 \001(\010\022\024\n\014" +
-      "store_age_ms\030\006 \001(\r\"K\n\nFeedObject\022\014\n\004name" +
-      "\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\017\n\007content\030\003 \001(" +
-      "\t\022\014\n\004gone\030\004 \001(\010\"\270\001\n\nFeedUpdate\022\"\n\004feed\030\001" +
-      " \001(\0162\024.tallycart.wire.Feed\022\r\n\005whole\030\002 \001(" +
-      "\010\022\025\n\rfrom_revision\030\003 \001(\003\022\020\n\010revision\030\004 \001" +
-      "(\003\022\024\n\014untrusted_ms\030\005 \001(\r\022+\n\007objects\030\006 \003(" +
-      "\0132\032.tallycart.wire.FeedObject\022\013\n\003era\030\007 \001" +
-      "(\003\"\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005s" +
-      "tage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service\030\004 \001" +
-      "(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016deadl" +
-      "ine_in_ms\030\007 \001(\021\022\027\n\017objective_in_ms\030\010 \001(\021" +
-      "\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_domain\030\n \001" +
-      "(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014result_bytes\030" +
-      "\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013fingerprint\030\016" +
-      " \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132\030.tallyc" +
-      "art.wire.PieceAsk\"\354\001\n\013PieceAnswer\022\022\n\nreq" +
-      "uest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 " +
-      "\001(\r\0222\n\006status\030\004 \001(\0162\".tallycart.wire.Pie" +
-      "ceAnswer.Status\022\016\n\006handle\030\005 \001(\t\"g\n\006Statu" +
-      "s\022\010\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n" +
-      "\007NO_ROOM\020\003\022\n\n\006FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022" +
-      "\017\n\013HANDED_BACK\020\006\"<\n\014PieceAnswers\022,\n\007answ" +
-      "ers\030\001 \003(\0132\033.tallycart.wire.PieceAnswer\"T" +
-      "\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(\t\022\022\n\nre" +
-      "quest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004" +
-      " \001(\r\"H\n\020PieceWithdrawals\0224\n\013withdrawals\030" +
-      "\001 \003(\0132\037.tallycart.wire.PieceWithdrawal\"0" +
-      "\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017\n\007handl" +
-      "es\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010releases\030\001 " +
-      "\003(\0132\034.tallycart.wire.PieceRelease\"L\n\014Cra" +
-      "shSuspect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n\nreques" +
-      "t_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h\n\013Crash" +
-      "Report\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014ended_ago" +
-      "_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tallycart." +
-      "wire.CrashSuspect\"$\n\014CrashCleared\022\024\n\014fin" +
-      "gerprints\030\001 \003(\t\":\n\rCrashQuestion\022\023\n\013fing" +
-      "erprint\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001(\r\"?\n\022Q" +
-      "uarantinedRequest\022\023\n\013fingerprint\030\001 \001(\t\022\024" +
-      "\n\014remaining_ms\030\002 \001(\r\"H\n\020QuarantineNotice" +
-      "\0224\n\010requests\030\001 \003(\0132\".tallycart.wire.Quar" +
-      "antinedRequest\"W\n\rUpstreamLimit\022\023\n\013incar" +
-      "nation\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\nper_sec" +
-      "ond\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"<\n\013LimitNotice\022-" +
-      "\n\006limits\030\001 \003(\0132\035.tallycart.wire.Upstream" +
-      "Limit\"]\n\010LimitAsk\022\016\n\006number\030\001 \001(\004\022,\n\005lim" +
-      "it\030\002 \001(\0132\035.tallycart.wire.UpstreamLimit\022" +
-      "\023\n\013patience_ms\030\003 \001(\r\"m\n\013LimitAnswer\022\016\n\006n" +
-      "umber\030\001 \001(\004\022\017\n\007granted\030\002 \001(\010\022\017\n\007wait_ms\030" +
-      "\003 \001(\r\022,\n\005limit\030\004 \001(\0132\035.tallycart.wire.Up" +
-      "streamLimit*R\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r" +
-      "\n\tUPSTREAMS\020\001\022\007\n\003VMS\020\002\022\017\n\013EVACUATIONS\020\003\022" +
-      "\016\n\nQUARANTINE\020\004B\036\n\032org.tallycart.wire.me" +
-      "ssageP\001b\006proto3"
+      "ire.Claimant\022\022\n\nknown_term\030\003 \001(\004\"\351\001\n\013Cla" +
+      "imAnswer\0222\n\006status\030\001 \001(\0162\".tallycart.wir" +
+      "e.ClaimAnswer.Status\022\014\n\004term\030\002 \001(\004\022(\n\006ho" +
+      "lder\030\003 \001(\0132\030.tallycart.wire.Claimant\022\016\n\006" +
+      "result\030\004 \001(\014\"^\n\006Status\022\r\n\tNOT_OWNER\020\000\022\013\n" +
+      "\007GRANTED\020\001\022\010\n\004HELD\020\002\022\014\n\010FINISHED\020\003\022\023\n\017BE" +
+      "FORE_TAKEOVER\020\004\022\013\n\007EXPIRED\020\005\"V\n\013ClaimFin" +
+      "ish\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tal" +
+      "lycart.wire.Claimant\022\016\n\006result\030\003 \001(\014\"G\n\014" +
+      "ClaimRelease\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 " +
+      "\001(\0132\030.tallycart.wire.Claimant\"e\n\nClaimEn" +
+      "try\022\013\n\003key\030\001 \001(\t\022(\n\006holder\030\002 \001(\0132\030.tally" +
+      "cart.wire.Claimant\022\016\n\006result\030\003 \001(\014\022\020\n\010fi" +
+      "nished\030\004 \001(\010\"m\n\nSlotClaims\022\014\n\004slot\030\001 \001(\r" +
+      "\022\014\n\004term\030\002 \001(\004\022\027\n\017refuse_until_ms\030\003 \001(\022\022" +
+      "*\n\006claims\030\004 \003(\0132\032.tallycart.wire.ClaimEn" +
+      "try\"K\n\014HandoverCall\022)\n\005slots\030\001 \003(\0132\032.tal" +
+      "lycart.wire.SlotClaims\022\020\n\010sequence\030\002 \001(\004" +
+      "\"\013\n\tSubscribe\"\362\001\n\013StateUpdate\022\026\n\016config_" +
+      "version\030\001 \001(\004\022#\n\005parts\030\002 \003(\0132\024.tallycart" +
+      ".wire.Blob\022*\n\tpart_refs\030\003 \003(\0132\027.tallycar" +
+      "t.wire.PartRef\022\025\n\rslots_version\030\004 \001(\004\022\r\n" +
+      "\005slots\030\005 \001(\t\022\023\n\013vms_version\030\006 \001(\004\022\013\n\003vms" +
+      "\030\007 \001(\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nactive_vms\030\t " +
+      "\001(\r\022\r\n\005ready\030\n \001(\010\"\'\n\007PartRef\022\014\n\004name\030\001 " +
+      "\001(\t\022\016\n\006digest\030\002 \001(\t\"o\n\013ShareDemand\022\021\n\two" +
+      "rkspace\030\001 \001(\t\022\031\n\021demand_per_second\030\002 \001(\001" +
+      "\022\030\n\020limit_per_second\030\003 \001(\001\022\030\n\020holds_per_" +
+      "second\030\004 \001(\001\";\n\013ShareReport\022,\n\007demands\030\001" +
+      " \003(\0132\033.tallycart.wire.ShareDemand\"8\n\nSha" +
+      "reGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_s" +
+      "econd\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003" +
+      "(\0132\032.tallycart.wire.ShareGrant\"Q\n\014FeedRe" +
+      "vision\022\"\n\004feed\030\001 \001(\0162\024.tallycart.wire.Fe" +
+      "ed\022\020\n\010revision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\"\226\001\n\010No" +
+      "deBeat\022\016\n\006answer\030\001 \001(\010\022\020\n\010draining\030\002 \001(\010" +
+      "\022\022\n\nsubscribes\030\003 \001(\010\022+\n\005known\030\004 \003(\0132\034.ta" +
+      "llycart.wire.FeedRevision\022\021\n\tpasses_on\030\005" +
+      " \001(\010\022\024\n\014store_age_ms\030\006 \001(\r\"K\n\nFeedObject" +
+      "\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\017\n\007cont" +
+      "ent\030\003 \001(\t\022\014\n\004gone\030\004 \001(\010\"\270\001\n\nFeedUpdate\022\"" +
+      "\n\004feed\030\001 \001(\0162\024.tallycart.wire.Feed\022\r\n\005wh" +
+      "ole\030\002 \001(\010\022\025\n\rfrom_revision\030\003 \001(\003\022\020\n\010revi" +
+      "sion\030\004 \001(\003\022\024\n\014untrusted_ms\030\005 \001(\r\022+\n\007obje" +
+      "cts\030\006 \003(\0132\032.tallycart.wire.FeedObject\022\013\n" +
+      "\003era\030\007 \001(\003\"\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 " +
+      "\001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007ser" +
+      "vice\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022" +
+      "\026\n\016deadline_in_ms\030\007 \001(\021\022\027\n\017objective_in_" +
+      "ms\030\010 \001(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_do" +
+      "main\030\n \001(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014resul" +
+      "t_bytes\030\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013finge" +
+      "rprint\030\016 \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132" +
+      "\030.tallycart.wire.PieceAsk\"\223\002\n\013PieceAnswe" +
+      "r\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005" +
+      "piece\030\003 \001(\r\0222\n\006status\030\004 \001(\0162\".tallycart." +
+      "wire.PieceAnswer.Status\022\016\n\006handle\030\005 \001(\t\022" +
+      "\026\n\016retry_after_ms\030\006 \001(\004\"v\n\006Status\022\010\n\004MAD" +
+      "E\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM" +
+      "\020\003\022\n\n\006FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013HANDE" +
+      "D_BACK\020\006\022\r\n\tNO_WORKER\020\007\"<\n\014PieceAnswers\022" +
+      ",\n\007answers\030\001 \003(\0132\033.tallycart.wire.PieceA" +
+      "nswer\"T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(" +
+      "\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005" +
+      "piece\030\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withd" +
+      "rawals\030\001 \003(\0132\037.tallycart.wire.PieceWithd" +
+      "rawal\"0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017" +
+      "\n\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010rele" +
+      "ases\030\001 \003(\0132\034.tallycart.wire.PieceRelease" +
+      "\"L\n\014CrashSuspect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n" +
+      "\nrequest_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h" +
+      "\n\013CrashReport\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014en" +
+      "ded_ago_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tal" +
+      "lycart.wire.CrashSuspect\"$\n\014CrashCleared" +
+      "\022\024\n\014fingerprints\030\001 \003(\t\":\n\rCrashQuestion\022" +
+      "\023\n\013fingerprint\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001" +
+      "(\r\"?\n\022QuarantinedRequest\022\023\n\013fingerprint\030" +
+      "\001 \001(\t\022\024\n\014remaining_ms\030\002 \001(\r\"H\n\020Quarantin" +
+      "eNotice\0224\n\010requests\030\001 \003(\0132\".tallycart.wi" +
+      "re.QuarantinedRequest\"W\n\rUpstreamLimit\022\023" +
+      "\n\013incarnation\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\n" +
+      "per_second\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017Statem" +
+      "entNotice\022-\n\006limits\030\001 \003(\0132\035.tallycart.wi" +
+      "re.UpstreamLimit\022\017\n\007leaving\030\002 \003(\t\"]\n\010Lim" +
+      "itAsk\022\016\n\006number\030\001 \001(\004\022,\n\005limit\030\002 \001(\0132\035.t" +
+      "allycart.wire.UpstreamLimit\022\023\n\013patience_" +
+      "ms\030\003 \001(\r\"m\n\013LimitAnswer\022\016\n\006number\030\001 \001(\004\022" +
+      "\017\n\007granted\030\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022,\n\005lim" +
+      "it\030\004 \001(\0132\035.tallycart.wire.UpstreamLimit*" +
+      "R\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTREAMS\020" +
+      "\001\022\007\n\003VMS\020\002\022\017\n\013EVACUATIONS\020\003\022\016\n\nQUARANTIN" +
+      "E\020\004B\036\n\032org.tallycart.wire.messageP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -442,7 +444,7 @@
     internal_static_tallycart_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_Envelope_descriptor,
-        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "FeedUpdate", "CrashReport", "CrashCleared", "QuarantineNotice", "CrashQuestion", "LimitNotice", "LimitAsk", "LimitAnswer", "Body", });
+        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "FeedUpdate", "CrashReport", "CrashCleared", "QuarantineNotice", "CrashQuestion", "StatementNotice", "LimitAsk", "LimitAnswer", "Body", });
     internal_static_tallycart_wire_Ack_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_tallycart_wire_Ack_fieldAccessorTable = new
@@ -640,7 +642,7 @@
     internal_static_tallycart_wire_PieceAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAnswer_descriptor,
-        new java.lang.String[] { "RequestId", "Stage", "Piece", "Status", "Handle", });
+        new java.lang.String[] { "RequestId", "Stage", "Piece", "Status", "Handle", "RetryAfterMs", });
     internal_static_tallycart_wire_PieceAnswers_descriptor =
       getDescriptor().getMessageType(34);
     internal_static_tallycart_wire_PieceAnswers_fieldAccessorTable = new
@@ -713,12 +715,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_UpstreamLimit_descriptor,
         new java.lang.String[] { "Incarnation", "Limited", "PerSecond", "Said", });
-    internal_static_tallycart_wire_LimitNotice_descriptor =
+    internal_static_tallycart_wire_StatementNotice_descriptor =
       getDescriptor().getMessageType(46);
-    internal_static_tallycart_wire_LimitNotice_fieldAccessorTable = new
+    internal_static_tallycart_wire_StatementNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_tallycart_wire_LimitNotice_descriptor,
-        new java.lang.String[] { "Limits", });
+        internal_static_tallycart_wire_StatementNotice_descriptor,
+        new java.lang.String[] { "Limits", "Leaving", });
     internal_static_tallycart_wire_LimitAsk_descriptor =
       getDescriptor().getMessageType(47);
     internal_static_tallycart_wire_LimitAsk_fieldAccessorTable = new
