--- a/node/src/main/java/org/tallycart/node/Loop.java
+++ b/node/src/main/java/org/tallycart/node/Loop.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import org.tallycart.runtime.process.Guard;
 
@@ -21,14 +22,27 @@
 
 	private final Guard guard;
 
+	private final LongSupplier clock;
+
 	/**
-	 * Wrap an event loop.
+	 * Wrap an event loop that runs on this process's clock.
 	 * @param executor the loop, of one thread
 	 * @param guard takes what a task throws: a repeated task that fails runs again
 	 */
 	public Loop(ScheduledExecutorService executor, Guard guard) {
+		this(executor, guard, Loop::steadyMs);
+	}
+
+	/**
+	 * Wrap an event loop.
+	 * @param executor the loop, of one thread
+	 * @param guard takes what a task throws: a repeated task that fails runs again
+	 * @param clock the steady clock on which the loop runs, in milliseconds
+	 */
+	public Loop(ScheduledExecutorService executor, Guard guard, LongSupplier clock) {
 		this.executor = executor;
 		this.guard = guard;
+		this.clock = clock;
 	}
 
 	/**
@@ -36,7 +50,7 @@
 	 * @return milliseconds from a fixed point
 	 */
 	public long nowMs() {
-		return steadyMs();
+		return this.clock.getAsLong();
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/store/FollowedKind.java
+++ b/node/src/main/java/org/tallycart/node/store/FollowedKind.java
@@ -14,13 +14,14 @@
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.platform.store.FeedListener;
 import org.tallycart.platform.store.ObjectChange;
-import org.tallycart.platform.store.ObjectFeed;
+import org.tallycart.platform.store.ObjectSource;
 import org.tallycart.platform.store.StoreError;
 import org.tallycart.platform.store.StorePoint;
 import org.tallycart.platform.store.StoredObject;
 import org.tallycart.runtime.event.EventCode;
 import org.tallycart.wire.message.Feed;
 import org.tallycart.wire.message.FeedObject;
+import org.tallycart.wire.message.FeedRevision;
 import org.tallycart.wire.message.FeedUpdate;
 
 /**
@@ -42,7 +43,7 @@
 
 	private final Feed feed;
 
-	private final ObjectFeed source;
+	private final ObjectSource source;
 
 	private final ObjectSink sink;
 
@@ -64,7 +65,7 @@
 
 	private boolean lost;
 
-	FollowedKind(Feed feed, ObjectSink sink, Function<FeedListener, ObjectFeed> source, Loop loop, NodeLog log,
+	FollowedKind(Feed feed, ObjectSink sink, Function<FeedListener, ObjectSource> source, Loop loop, NodeLog log,
 			Runnable onContact, Consumer<FeedUpdate> publisher) {
 		this.feed = feed;
 		this.source = source.apply(this);
@@ -96,6 +97,28 @@
 		return !this.point.equals(StorePoint.UNKNOWN);
 	}
 
+	/**
+	 * Return what this VM says of this kind to the one that is to pass it on.
+	 * @return up to where it is known
+	 */
+	FeedRevision question() {
+		return FeedRevision.newBuilder()
+			.setFeed(this.feed)
+			.setEra(this.point.era())
+			.setRevision(this.point.revision())
+			.build();
+	}
+
+	/**
+	 * Return whether another VM has to be sent all of this kind.
+	 * @param asked what it says of a kind, which may be another one
+	 * @return true if it knows less than this VM
+	 */
+	boolean lackedBy(FeedRevision asked) {
+		StorePoint has = new StorePoint(asked.getEra(), asked.getRevision());
+		return asked.getFeed() == this.feed && has.before(this.point);
+	}
+
 	// How many objects are kept against an older copy.
 	int kept() {
 		return this.copy.count();
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -26,8 +26,8 @@
 import org.tallycart.platform.store.FeedListener;
 import org.tallycart.platform.store.ObjectClient;
 import org.tallycart.platform.store.ObjectFeed;
+import org.tallycart.platform.store.ObjectSource;
 import org.tallycart.platform.store.QuarantineRecords;
-import org.tallycart.platform.store.StorePoint;
 import org.tallycart.platform.store.UpstreamDecoder;
 import org.tallycart.platform.store.VmRecords;
 import org.tallycart.runtime.event.EventCode;
@@ -165,7 +165,7 @@
 		return new ObjectFeed(client, this.loop.executor(), kind, OptionalLong.empty(), listener);
 	}
 
-	private FollowedKind kind(Feed feed, ObjectSink sink, Function<FeedListener, ObjectFeed> source) {
+	private FollowedKind kind(Feed feed, ObjectSink sink, Function<FeedListener, ObjectSource> source) {
 		return new FollowedKind(feed, sink, source, this.loop, this.log, this::onContact, this::publish);
 	}
 
@@ -333,10 +333,7 @@
 	public void onAsking(String vm, NodeBeat.Builder question) {
 		if (!following() && wanted().equals(vm)) {
 			question.setSubscribes(true);
-			this.kinds.forEach((kind) -> question.addKnown(FeedRevision.newBuilder()
-				.setFeed(kind.feed())
-				.setEra(kind.point().era())
-				.setRevision(kind.point().revision())));
+			this.kinds.forEach((kind) -> question.addKnown(kind.question()));
 		}
 	}
 
@@ -360,9 +357,7 @@
 
 	private void sendMissing(String vm, FeedRevision known, long now) {
 		for (FollowedKind kind : this.kinds) {
-			StorePoint has = new StorePoint(known.getEra(), known.getRevision());
-			boolean lacks = kind.feed() == known.getFeed() && has.before(kind.point());
-			if (lacks && this.subscribers.sendWhole(vm, kind.feed(), now)) {
+			if (kind.lackedBy(known) && this.subscribers.sendWhole(vm, kind.feed(), now)) {
 				this.mesh.ifPresent((peers) -> peers.answer(vm, Envelope.newBuilder().setFeedUpdate(kind.whole())));
 			}
 		}
