--- a/node/src/main/java/org/tallycart/node/store/FollowedKind.java
+++ b/node/src/main/java/org/tallycart/node/store/FollowedKind.java
@@ -61,6 +61,10 @@
 
 	private StorePoint point = StorePoint.UNKNOWN;
 
+	// Until when something is believed against an older copy; empty if nothing is, or
+	// for good.
+	private OptionalLong keptUntilMs = OptionalLong.empty();
+
 	private boolean following;
 
 	private boolean lost;
@@ -106,17 +110,24 @@
 			.setFeed(this.feed)
 			.setEra(this.point.era())
 			.setRevision(this.point.revision())
+			.setOverdue(overdue())
 			.build();
 	}
 
+	private boolean overdue() {
+		return this.keptUntilMs.isPresent() && this.loop.nowMs() >= this.keptUntilMs.getAsLong();
+	}
+
 	/**
-	 * Return whether another VM has to be sent all of this kind.
+	 * Return whether another VM has to be sent all of this kind. At the same point of the
+	 * store's course it may still believe what this VM no longer does.
 	 * @param asked what it says of a kind, which may be another one
-	 * @return true if it knows less than this VM
+	 * @return true if it knows less than this VM, or believes what has ended
 	 */
 	boolean lackedBy(FeedRevision asked) {
 		StorePoint has = new StorePoint(asked.getEra(), asked.getRevision());
-		return asked.getFeed() == this.feed && has.before(this.point);
+		boolean corrects = asked.getOverdue() && this.keptUntilMs.isEmpty() && !this.point.before(has);
+		return asked.getFeed() == this.feed && (has.before(this.point) || corrects);
 	}
 
 	// How many objects are kept against an older copy.
@@ -153,6 +164,7 @@
 			this.copy.dueMs(now).ifPresent((ms) -> this.loop.after(ms, this::listIfFollowing));
 		}
 		List<StoredObject> believed = this.copy.apply(listed, now);
+		this.keptUntilMs = until(this.copy.dueMs(now));
 		boolean same = known() && !newEra && sameAs(believed);
 		takeAll(believed);
 		if (!same) {
@@ -161,6 +173,10 @@
 		}
 	}
 
+	private OptionalLong until(OptionalLong leftMs) {
+		return leftMs.isPresent() ? OptionalLong.of(this.loop.nowMs() + leftMs.getAsLong()) : OptionalLong.empty();
+	}
+
 	private void listIfFollowing() {
 		if (this.following) {
 			this.source.renew();
@@ -254,7 +270,14 @@
 			.setFromRevision(from.revision())
 			.setEra(this.point.era())
 			.setRevision(this.point.revision())
-			.setUntrustedMs((int) this.sink.untrustedMs());
+			.setUntrustedMs((int) this.sink.untrustedMs())
+			.setKeptMs((int) keptMs());
+	}
+
+	// For how much longer something is believed against an older copy. What is overdue is
+	// passed on as what ends at once.
+	private long keptMs() {
+		return this.keptUntilMs.isPresent() ? Math.max(this.keptUntilMs.getAsLong() - this.loop.nowMs(), 1) : 0;
 	}
 
 	private static FeedObject encode(ObjectChange change) {
@@ -280,6 +303,10 @@
 			return;
 		}
 		List<ObjectChange> changes = decode(update);
+		if (update.getWhole()) {
+			this.keptUntilMs = until(
+					(update.getKeptMs() > 0) ? OptionalLong.of(update.getKeptMs()) : OptionalLong.empty());
+		}
 		// What was kept against an older copy may end without a change in the store.
 		if (again && sameAs(objects(changes))) {
 			return;
--- a/node/src/test/java/org/tallycart/node/store/FollowedKindTests.java
+++ b/node/src/test/java/org/tallycart/node/store/FollowedKindTests.java
@@ -84,7 +84,7 @@
 	}
 
 	/** Pattern: as seen; see above. */
-	@Test(groups = "known-red")
+	@Test
 	void aVmThatStopsReadingWithinItsTermLearnsFromItsSourceWhatIsGone() {
 		Vm reader = new Vm();
 		Vm other = new Vm();
@@ -105,7 +105,7 @@
 	}
 
 	/** Pattern: its source changes within the term, to one whose term is over. */
-	@Test(groups = "known-red")
+	@Test
 	void aVmThatWasToldWhatIsKeptLearnsFromItsNextSourceWhatIsGone() {
 		Vm first = new Vm();
 		Vm next = new Vm();
--- a/wire/src/main/java/org/tallycart/wire/message/FeedRevision.java
+++ b/wire/src/main/java/org/tallycart/wire/message/FeedRevision.java
@@ -93,6 +93,21 @@
     return era_;
   }
 
+  public static final int OVERDUE_FIELD_NUMBER = 4;
+  private boolean overdue_ = false;
+  /**
+   * <pre>
+   * Whether the sender still believes what an older copy of the store lacks, though it should have been written again.
+   * </pre>
+   *
+   * <code>bool overdue = 4;</code>
+   * @return The overdue.
+   */
+  @java.lang.Override
+  public boolean getOverdue() {
+    return overdue_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -116,6 +131,9 @@
     if (era_ != 0L) {
       output.writeInt64(3, era_);
     }
+    if (overdue_ != false) {
+      output.writeBool(4, overdue_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -132,6 +150,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, era_);
     }
+    if (overdue_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, overdue_);
+    }
     return size;
   }
   @java.lang.Override
@@ -161,6 +183,8 @@
         != other.getRevision()) return false;
     if (getEra()
         != other.getEra()) return false;
+    if (getOverdue()
+        != other.getOverdue()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -180,6 +204,9 @@
     hash = (37 * hash) + ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEra());
+    hash = (37 * hash) + OVERDUE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getOverdue());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -314,6 +341,7 @@
       feed_ = 0;
       revision_ = 0L;
       era_ = 0L;
+      overdue_ = false;
       return this;
     }
 
@@ -356,6 +384,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.era_ = era_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.overdue_ = overdue_;
+      }
     }
 
     @java.lang.Override
@@ -379,6 +410,9 @@
       if (other.getEra() != 0L) {
         setEra(other.getEra());
       }
+      if (other.getOverdue() != false) {
+        setOverdue(other.getOverdue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -418,6 +452,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              overdue_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -563,6 +602,50 @@
       return this;
     }
 
+    private boolean overdue_ ;
+    /**
+     * <pre>
+     * Whether the sender still believes what an older copy of the store lacks, though it should have been written again.
+     * </pre>
+     *
+     * <code>bool overdue = 4;</code>
+     * @return The overdue.
+     */
+    @java.lang.Override
+    public boolean getOverdue() {
+      return overdue_;
+    }
+    /**
+     * <pre>
+     * Whether the sender still believes what an older copy of the store lacks, though it should have been written again.
+     * </pre>
+     *
+     * <code>bool overdue = 4;</code>
+     * @param value The overdue to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOverdue(boolean value) {
+
+      overdue_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender still believes what an older copy of the store lacks, though it should have been written again.
+     * </pre>
+     *
+     * <code>bool overdue = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOverdue() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      overdue_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.FeedRevision)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/FeedRevisionOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/FeedRevisionOrBuilder.java
@@ -36,4 +36,14 @@
    * @return The era.
    */
   long getEra();
+
+  /**
+   * <pre>
+   * Whether the sender still believes what an older copy of the store lacks, though it should have been written again.
+   * </pre>
+   *
+   * <code>bool overdue = 4;</code>
+   * @return The overdue.
+   */
+  boolean getOverdue();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/FeedUpdate.java
+++ b/wire/src/main/java/org/tallycart/wire/message/FeedUpdate.java
@@ -180,6 +180,21 @@
     return era_;
   }
 
+  public static final int KEPT_MS_FIELD_NUMBER = 8;
+  private int keptMs_ = 0;
+  /**
+   * <pre>
+   * For how much longer the sender believes what that copy lacks; 0 if it believes the store.
+   * </pre>
+   *
+   * <code>uint32 kept_ms = 8;</code>
+   * @return The keptMs.
+   */
+  @java.lang.Override
+  public int getKeptMs() {
+    return keptMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -215,6 +230,9 @@
     if (era_ != 0L) {
       output.writeInt64(7, era_);
     }
+    if (keptMs_ != 0) {
+      output.writeUInt32(8, keptMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -252,6 +270,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, era_);
     }
+    if (keptMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(8, keptMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -289,6 +311,8 @@
         .equals(other.getObjectsList())) return false;
     if (getEra()
         != other.getEra()) return false;
+    if (getKeptMs()
+        != other.getKeptMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -320,6 +344,8 @@
     hash = (37 * hash) + ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEra());
+    hash = (37 * hash) + KEPT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getKeptMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -468,6 +494,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000020);
       era_ = 0L;
+      keptMs_ = 0;
       return this;
     }
 
@@ -532,6 +559,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.era_ = era_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.keptMs_ = keptMs_;
+      }
     }
 
     @java.lang.Override
@@ -590,6 +620,9 @@
       if (other.getEra() != 0L) {
         setEra(other.getEra());
       }
+      if (other.getKeptMs() != 0) {
+        setKeptMs(other.getKeptMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -657,6 +690,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              keptMs_ = input.readUInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1156,6 +1194,50 @@
       return this;
     }
 
+    private int keptMs_ ;
+    /**
+     * <pre>
+     * For how much longer the sender believes what that copy lacks; 0 if it believes the store.
+     * </pre>
+     *
+     * <code>uint32 kept_ms = 8;</code>
+     * @return The keptMs.
+     */
+    @java.lang.Override
+    public int getKeptMs() {
+      return keptMs_;
+    }
+    /**
+     * <pre>
+     * For how much longer the sender believes what that copy lacks; 0 if it believes the store.
+     * </pre>
+     *
+     * <code>uint32 kept_ms = 8;</code>
+     * @param value The keptMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeptMs(int value) {
+
+      keptMs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * For how much longer the sender believes what that copy lacks; 0 if it believes the store.
+     * </pre>
+     *
+     * <code>uint32 kept_ms = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeptMs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      keptMs_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.FeedUpdate)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/FeedUpdateOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/FeedUpdateOrBuilder.java
@@ -86,4 +86,14 @@
    * @return The era.
    */
   long getEra();
+
+  /**
+   * <pre>
+   * For how much longer the sender believes what that copy lacks; 0 if it believes the store.
+   * </pre>
+   *
+   * <code>uint32 kept_ms = 8;</code>
+   * @return The keptMs.
+   */
+  int getKeptMs();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -373,67 +373,67 @@
       " \003(\0132\033.tallycart.wire.ShareDemand\"8\n\nSha" +
       "reGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_s" +
       "econd\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003" +
-      "(\0132\032.tallycart.wire.ShareGrant\"Q\n\014FeedRe" +
+      "(\0132\032.tallycart.wire.ShareGrant\"b\n\014FeedRe" +
       "vision\022\"\n\004feed\030\001 \001(\0162\024.tallycart.wire.Fe" +
-      "ed\022\020\n\010revision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\"\226\001\n\010No" +
-      "deBeat\022\016\n\006answer\030\001 \001(\010\022\020\n\010draining\030\002 \001(\010" +
-      "\022\022\n\nsubscribes\030\003 \001(\010\022+\n\005known\030\004 \003(\0132\034.ta" +
-      "llycart.wire.FeedRevision\022\021\n\tpasses_on\030\005" +
-      " \001(\010\022\024\n\014store_age_ms\030\006 \001(\r\"K\n\nFeedObject" +
-      "\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\017\n\007cont" +
-      "ent\030\003 \001(\t\022\014\n\004gone\030\004 \001(\010\"\270\001\n\nFeedUpdate\022\"" +
-      "\n\004feed\030\001 \001(\0162\024.tallycart.wire.Feed\022\r\n\005wh" +
-      "ole\030\002 \001(\010\022\025\n\rfrom_revision\030\003 \001(\003\022\020\n\010revi" +
-      "sion\030\004 \001(\003\022\024\n\014untrusted_ms\030\005 \001(\r\022+\n\007obje" +
-      "cts\030\006 \003(\0132\032.tallycart.wire.FeedObject\022\013\n" +
-      "\003era\030\007 \001(\003\"\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 " +
-      "\001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007ser" +
-      "vice\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022" +
-      "\026\n\016deadline_in_ms\030\007 \001(\021\022\027\n\017objective_in_" +
-      "ms\030\010 \001(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_do" +
-      "main\030\n \001(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014resul" +
-      "t_bytes\030\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013finge" +
-      "rprint\030\016 \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132" +
-      "\030.tallycart.wire.PieceAsk\"\223\002\n\013PieceAnswe" +
-      "r\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005" +
-      "piece\030\003 \001(\r\0222\n\006status\030\004 \001(\0162\".tallycart." +
-      "wire.PieceAnswer.Status\022\016\n\006handle\030\005 \001(\t\022" +
-      "\026\n\016retry_after_ms\030\006 \001(\004\"v\n\006Status\022\010\n\004MAD" +
-      "E\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM" +
-      "\020\003\022\n\n\006FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013HANDE" +
-      "D_BACK\020\006\022\r\n\tNO_WORKER\020\007\"<\n\014PieceAnswers\022" +
-      ",\n\007answers\030\001 \003(\0132\033.tallycart.wire.PieceA" +
-      "nswer\"T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(" +
-      "\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005" +
-      "piece\030\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withd" +
-      "rawals\030\001 \003(\0132\037.tallycart.wire.PieceWithd" +
-      "rawal\"0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017" +
-      "\n\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010rele" +
-      "ases\030\001 \003(\0132\034.tallycart.wire.PieceRelease" +
-      "\"L\n\014CrashSuspect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n" +
-      "\nrequest_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h" +
-      "\n\013CrashReport\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014en" +
-      "ded_ago_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tal" +
-      "lycart.wire.CrashSuspect\"$\n\014CrashCleared" +
-      "\022\024\n\014fingerprints\030\001 \003(\t\":\n\rCrashQuestion\022" +
-      "\023\n\013fingerprint\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001" +
-      "(\r\"?\n\022QuarantinedRequest\022\023\n\013fingerprint\030" +
-      "\001 \001(\t\022\024\n\014remaining_ms\030\002 \001(\r\"H\n\020Quarantin" +
-      "eNotice\0224\n\010requests\030\001 \003(\0132\".tallycart.wi" +
-      "re.QuarantinedRequest\"W\n\rUpstreamLimit\022\023" +
-      "\n\013incarnation\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\n" +
-      "per_second\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017Statem" +
-      "entNotice\022-\n\006limits\030\001 \003(\0132\035.tallycart.wi" +
-      "re.UpstreamLimit\022\017\n\007leaving\030\002 \003(\t\"]\n\010Lim" +
-      "itAsk\022\016\n\006number\030\001 \001(\004\022,\n\005limit\030\002 \001(\0132\035.t" +
-      "allycart.wire.UpstreamLimit\022\023\n\013patience_" +
-      "ms\030\003 \001(\r\"m\n\013LimitAnswer\022\016\n\006number\030\001 \001(\004\022" +
-      "\017\n\007granted\030\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022,\n\005lim" +
-      "it\030\004 \001(\0132\035.tallycart.wire.UpstreamLimit*" +
-      "R\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTREAMS\020" +
-      "\001\022\007\n\003VMS\020\002\022\017\n\013EVACUATIONS\020\003\022\016\n\nQUARANTIN" +
-      "E\020\004B\036\n\032org.tallycart.wire.messageP\001b\006pro" +
-      "to3"
+      "ed\022\020\n\010revision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\022\017\n\007ove" +
+      "rdue\030\004 \001(\010\"\226\001\n\010NodeBeat\022\016\n\006answer\030\001 \001(\010\022" +
+      "\020\n\010draining\030\002 \001(\010\022\022\n\nsubscribes\030\003 \001(\010\022+\n" +
+      "\005known\030\004 \003(\0132\034.tallycart.wire.FeedRevisi" +
+      "on\022\021\n\tpasses_on\030\005 \001(\010\022\024\n\014store_age_ms\030\006 " +
+      "\001(\r\"K\n\nFeedObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revis" +
+      "ion\030\002 \001(\003\022\017\n\007content\030\003 \001(\t\022\014\n\004gone\030\004 \001(\010" +
+      "\"\311\001\n\nFeedUpdate\022\"\n\004feed\030\001 \001(\0162\024.tallycar" +
+      "t.wire.Feed\022\r\n\005whole\030\002 \001(\010\022\025\n\rfrom_revis" +
+      "ion\030\003 \001(\003\022\020\n\010revision\030\004 \001(\003\022\024\n\014untrusted" +
+      "_ms\030\005 \001(\r\022+\n\007objects\030\006 \003(\0132\032.tallycart.w" +
+      "ire.FeedObject\022\013\n\003era\030\007 \001(\003\022\017\n\007kept_ms\030\010" +
+      " \001(\r\"\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022\r\n" +
+      "\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service\030\004" +
+      " \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016dea" +
+      "dline_in_ms\030\007 \001(\021\022\027\n\017objective_in_ms\030\010 \001" +
+      "(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_domain\030\n" +
+      " \001(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014result_byte" +
+      "s\030\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013fingerprint" +
+      "\030\016 \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132\030.tall" +
+      "ycart.wire.PieceAsk\"\223\002\n\013PieceAnswer\022\022\n\nr" +
+      "equest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030" +
+      "\003 \001(\r\0222\n\006status\030\004 \001(\0162\".tallycart.wire.P" +
+      "ieceAnswer.Status\022\016\n\006handle\030\005 \001(\t\022\026\n\016ret" +
+      "ry_after_ms\030\006 \001(\004\"v\n\006Status\022\010\n\004MADE\020\000\022\010\n" +
+      "\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM\020\003\022\n\n\006" +
+      "FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013HANDED_BACK" +
+      "\020\006\022\r\n\tNO_WORKER\020\007\"<\n\014PieceAnswers\022,\n\007ans" +
+      "wers\030\001 \003(\0132\033.tallycart.wire.PieceAnswer\"" +
+      "T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(\t\022\022\n\nr" +
+      "equest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030" +
+      "\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withdrawals" +
+      "\030\001 \003(\0132\037.tallycart.wire.PieceWithdrawal\"" +
+      "0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017\n\007hand" +
+      "les\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010releases\030\001" +
+      " \003(\0132\034.tallycart.wire.PieceRelease\"L\n\014Cr" +
+      "ashSuspect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n\nreque" +
+      "st_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h\n\013Cras" +
+      "hReport\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014ended_ag" +
+      "o_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tallycart" +
+      ".wire.CrashSuspect\"$\n\014CrashCleared\022\024\n\014fi" +
+      "ngerprints\030\001 \003(\t\":\n\rCrashQuestion\022\023\n\013fin" +
+      "gerprint\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001(\r\"?\n\022" +
+      "QuarantinedRequest\022\023\n\013fingerprint\030\001 \001(\t\022" +
+      "\024\n\014remaining_ms\030\002 \001(\r\"H\n\020QuarantineNotic" +
+      "e\0224\n\010requests\030\001 \003(\0132\".tallycart.wire.Qua" +
+      "rantinedRequest\"W\n\rUpstreamLimit\022\023\n\013inca" +
+      "rnation\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\nper_se" +
+      "cond\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017StatementNot" +
+      "ice\022-\n\006limits\030\001 \003(\0132\035.tallycart.wire.Ups" +
+      "treamLimit\022\017\n\007leaving\030\002 \003(\t\"]\n\010LimitAsk\022" +
+      "\016\n\006number\030\001 \001(\004\022,\n\005limit\030\002 \001(\0132\035.tallyca" +
+      "rt.wire.UpstreamLimit\022\023\n\013patience_ms\030\003 \001" +
+      "(\r\"m\n\013LimitAnswer\022\016\n\006number\030\001 \001(\004\022\017\n\007gra" +
+      "nted\030\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022,\n\005limit\030\004 \001" +
+      "(\0132\035.tallycart.wire.UpstreamLimit*R\n\004Fee" +
+      "d\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTREAMS\020\001\022\007\n\003V" +
+      "MS\020\002\022\017\n\013EVACUATIONS\020\003\022\016\n\nQUARANTINE\020\004B\036\n" +
+      "\032org.tallycart.wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -606,7 +606,7 @@
     internal_static_tallycart_wire_FeedRevision_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_FeedRevision_descriptor,
-        new java.lang.String[] { "Feed", "Revision", "Era", });
+        new java.lang.String[] { "Feed", "Revision", "Era", "Overdue", });
     internal_static_tallycart_wire_NodeBeat_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_tallycart_wire_NodeBeat_fieldAccessorTable = new
@@ -624,7 +624,7 @@
     internal_static_tallycart_wire_FeedUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_FeedUpdate_descriptor,
-        new java.lang.String[] { "Feed", "Whole", "FromRevision", "Revision", "UntrustedMs", "Objects", "Era", });
+        new java.lang.String[] { "Feed", "Whole", "FromRevision", "Revision", "UntrustedMs", "Objects", "Era", "KeptMs", });
     internal_static_tallycart_wire_PieceAsk_descriptor =
       getDescriptor().getMessageType(31);
     internal_static_tallycart_wire_PieceAsk_fieldAccessorTable = new
