--- a/core/src/test/java/org/tallycart/core/limit/LimitedFleet.java
+++ b/core/src/test/java/org/tallycart/core/limit/LimitedFleet.java
@@ -4,11 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.tallycart.core.fleet.Duty;
@@ -62,6 +64,10 @@
 
 	private final Map<String, Integer> groups = new HashMap<>();
 
+	private final Set<Set<String>> severed = new HashSet<>();
+
+	private boolean storeAway;
+
 	private final List<Long> arrivalsMs = new ArrayList<>();
 
 	private List<VmRecord> records = List.of();
@@ -138,8 +144,20 @@
 		this.groups.put(name, group);
 	}
 
+	// Two VMs that do not hear each other, though others may hear both.
+	void sever(String one, String other) {
+		this.severed.add(Set.of(one, other));
+	}
+
+	// What VMs know of each other stays as it is; one that starts now has still read what
+	// was known before.
+	void loseStore() {
+		this.storeAway = true;
+	}
+
 	void heal() {
 		this.groups.clear();
+		this.severed.clear();
 		live().forEach((vm) -> after(this.random.nextInt(MISSED_MS), vm::hearMissed));
 	}
 
@@ -184,10 +202,14 @@
 	}
 
 	private boolean reaches(Vm from, Vm to) {
-		return to.up && this.vms.get(to.name) == to
+		return to.up && this.vms.get(to.name) == to && !this.severed.contains(pair(from, to))
 				&& this.groups.getOrDefault(from.name, 0).equals(this.groups.getOrDefault(to.name, 0));
 	}
 
+	private static Set<String> pair(Vm from, Vm to) {
+		return from.name.equals(to.name) ? Set.of(from.name) : Set.of(from.name, to.name);
+	}
+
 	private void arrive(Vm from) {
 		this.arrivalsMs.add(this.now);
 		OptionalDouble said = this.limit;
@@ -234,11 +256,12 @@
 				return;
 			}
 			long now = LimitedFleet.this.now;
-			if (now >= this.readRecordsMs) {
+			boolean reads = !LimitedFleet.this.storeAway || this.table.known() == 0;
+			if (reads && now >= this.readRecordsMs) {
 				this.readRecordsMs = now + RECORDS_MS;
 				this.table.know(LimitedFleet.this.records);
 			}
-			this.table.want(this.limits.isEmpty() ? List.of() : List.of(Duty.GRANT));
+			this.table.want(this.limits.isEmpty() ? List.of(Duty.READ) : List.of(Duty.READ, Duty.GRANT));
 			this.table.takeSilent(now).forEach((lost) -> this.heard.onLost(now));
 			this.table.tick(now).forEach((record) -> ask(LimitedFleet.this.vms.get(record.vm())));
 			after(TICK_MS, this::tick);
--- a/core/src/test/java/org/tallycart/core/limit/LimitedFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/limit/LimitedFleetTests.java
@@ -30,6 +30,9 @@
 
 	private static final int LEAST_SEEDS = 3;
 
+	/** Time between the first and the last start of VMs, in milliseconds. */
+	private static final int START_SPREAD_MS = 300;
+
 	/** Requests for each that the upstream takes. */
 	private static final double PRESSURE = 4;
 
@@ -97,6 +100,38 @@
 		}
 	}
 
+	// A third of all pairs of VMs, whoever hears both.
+	private static void severPairs(LimitedFleet fleet, Random random) {
+		List<String> names = fleet.names();
+		for (int i = 0; i < names.size(); i++) {
+			for (int j = 0; j < i; j++) {
+				if (random.nextInt(3) == 0) {
+					fleet.sever(names.get(i), names.get(j));
+				}
+			}
+		}
+		fleet.after(HARM_MS * 3 / 4, fleet::heal);
+	}
+
+	// Whoever grants and the others lose each other, but for one that hears both.
+	private static void severHolder(LimitedFleet fleet, Random random) {
+		String holder = fleet.holder();
+		List<String> others = new ArrayList<>(fleet.names());
+		others.remove(holder);
+		others.remove(random.nextInt(others.size()));
+		others.forEach((other) -> fleet.sever(holder, other));
+		fleet.after(HARM_MS * 3 / 4, fleet::heal);
+	}
+
+	private static void growBeforeOutage(LimitedFleet fleet, Random random) {
+		int count = fleet.names().size();
+		fleet.loseStore();
+		for (int i = 0; i < count; i++) {
+			String name = "late-" + i;
+			fleet.after(random.nextInt(1_000), () -> fleet.add(name));
+		}
+	}
+
 	@Test(dataProvider = "harms")
 	void aLimitHoldsForAllVmsTogetherUnder(Harm harm, int vms) {
 		List<String> broken = new ArrayList<>();
@@ -119,6 +154,39 @@
 		assertTrue(broken.isEmpty(), String.join("; ", broken));
 	}
 
+	@DataProvider
+	static Object[][] starts() {
+		return new Object[][] { { 2 }, { 3 }, { 6 }, { 18 } };
+	}
+
+	/**
+	 * Pattern: all VMs start, and the store goes away before those that started first
+	 * have read of the others.
+	 */
+	@Test(dataProvider = "starts", groups = "known-red")
+	void aLimitHoldsForVmsThatHaveReadOfOnlySomeOthers(int vms) {
+		List<String> broken = new ArrayList<>();
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			double perSecond = 2;
+			LimitedFleet fleet = new LimitedFleet(0, perSecond, seed);
+			fleet.loseStore();
+			Random random = new Random(seed);
+			for (int i = 0; i < vms; i++) {
+				String name = "vm-" + i;
+				fleet.after(random.nextInt(START_SPREAD_MS), () -> fleet.add(name));
+			}
+			fleet.run(SPAN_MS / 2);
+			fleet.traffic(perSecond * PRESSURE, fleet.nowMs() + CONTACT_MS + HARM_MS);
+			long fromMs = fleet.nowMs() + CONTACT_MS;
+			fleet.run(CONTACT_MS + HARM_MS);
+			int most = fleet.mostIn(SPAN_MS, fromMs);
+			if (most > tolerated(perSecond)) {
+				broken.add("seed " + seed + ": " + most);
+			}
+		}
+		assertTrue(broken.isEmpty(), String.join("; ", broken));
+	}
+
 	@DataProvider
 	static Object[][] sizes() {
 		return new Object[][] { { 1 }, { 6 }, { 18 }, { 86 }, { 300 } };
@@ -176,8 +244,14 @@
 		TWO_GROUPS((fleet, random) -> split(fleet, random, 2)),
 		/** The VMs are cut into three groups. */
 		THREE_GROUPS((fleet, random) -> split(fleet, random, 3)),
+		/** A third of all pairs of VMs do not hear each other. */
+		PAIRS_SEVERED(LimitedFleetTests::severPairs),
+		/** Whoever grants is heard by one VM, which hears all others, too. */
+		HOLDER_SEVERED(LimitedFleetTests::severHolder),
 		/** As many VMs start as there are. */
-		GROWTH(LimitedFleetTests::grow);
+		GROWTH(LimitedFleetTests::grow),
+		/** The same, and the store goes away before the others have read of them. */
+		GROWTH_BEFORE_OUTAGE(LimitedFleetTests::growBeforeOutage);
 
 		private final BiConsumer<LimitedFleet, Random> what;
 
