--- a/core/src/main/java/org/tallycart/core/fleet/DutyRanks.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyRanks.java
@@ -82,6 +82,10 @@
 		return ranked;
 	}
 
+	Set<Duty> wanted() {
+		return this.wanted.keySet();
+	}
+
 	Collection<List<String>> ofWanted() {
 		return this.wanted.values();
 	}
--- a/core/src/test/java/org/tallycart/core/limit/LimitedFleet.java
+++ b/core/src/test/java/org/tallycart/core/limit/LimitedFleet.java
@@ -110,10 +110,14 @@
 		this.vms.put(name, new Vm(name));
 		if (this.records.stream().noneMatch((record) -> record.vm().equals(name))) {
 			this.records = new ArrayList<>(this.records);
-			this.records.add(new VmRecord(name, new Address("10.0.0.1", 1), "d", 1));
+			this.records.add(record(name));
 		}
 	}
 
+	private static VmRecord record(String name) {
+		return new VmRecord(name, new Address("10.0.0.1", 1), "d", 1);
+	}
+
 	void kill(String name) {
 		Vm vm = this.vms.get(name);
 		if (vm != null) {
@@ -268,10 +272,14 @@
 		}
 
 		private void ask(Vm other) {
+			boolean announces = this.table.announces();
 			after(MESSAGE_MS, () -> {
 				if (!this.up || !reaches(this, other)) {
 					return;
 				}
+				if (announces) {
+					other.table.onTold(record(this.name), LimitedFleet.this.now);
+				}
 				if (this.draining) {
 					other.heard.onLeaving(this.name);
 				}
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -31,6 +31,9 @@
 	/** With one fault in this many an upstream also names a limit. */
 	private static final int LIMIT_SHARE = 5;
 
+	/** With one fault in this many an upstream also asks for rest, or leaves. */
+	private static final int ABSENCE_SHARE = 5;
+
 	/** With one fault in this many the store comes back from a copy. */
 	private static final int RETURN_SHARE = 6;
 
@@ -51,6 +54,9 @@
 	// faults stay as they are.
 	private final Random limits;
 
+	// The same for upstreams that rest or leave.
+	private final Random absences;
+
 	private final ScheduledExecutorService undoing = Executors.newScheduledThreadPool(4);
 
 	private final List<Future<?>> undone = new ArrayList<>();
@@ -62,6 +68,7 @@
 		this.violations = violations;
 		this.random = new Random(seed);
 		this.limits = new Random(~seed);
+		this.absences = new Random(Long.reverse(seed));
 	}
 
 	/**
@@ -75,6 +82,9 @@
 			if (this.limits.nextInt(LIMIT_SHARE) == 0) {
 				nameLimit();
 			}
+			if (this.absences.nextInt(ABSENCE_SHARE) == 0) {
+				restOrLeave();
+			}
 			if (this.limits.nextInt(RETURN_SHARE) == 0) {
 				returnOfStore();
 			}
@@ -123,6 +133,20 @@
 				() -> this.fleet.upstream(upstream).liftLimit());
 	}
 
+	private void restOrLeave() {
+		List<String> ids = this.fleet.upstreamIds();
+		String upstream = ids.get(this.absences.nextInt(ids.size()));
+		int ms = LEAST_LENGTH_MS + this.absences.nextInt(MAX_LENGTH_MS);
+		if (this.absences.nextBoolean() && this.fleet.mayLeave(upstream)) {
+			this.violations.note(upstream + " leaves and says so in its replies");
+			this.fleet.leave(upstream, ms);
+			return;
+		}
+		this.violations.note(upstream + " asks for rest");
+		this.fleet.upstream(upstream).askForRest(String.valueOf(ms / 1_000.0));
+		undoAfter(ms, () -> this.fleet.upstream(upstream).endRest());
+	}
+
 	// What operators and upstreams wrote comes again a while after the store's return.
 	private void returnOfStore() {
 		if (this.returning) {
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -71,10 +71,12 @@
 
 	private final List<FaultProxy> peerPaths = new CopyOnWriteArrayList<>();
 
-	private final Set<String> crashed = ConcurrentHashMap.newKeySet();
+	private final Set<String> gone = ConcurrentHashMap.newKeySet();
 
 	private final Set<String> leaving = ConcurrentHashMap.newKeySet();
 
+	private final Set<String> draining = ConcurrentHashMap.newKeySet();
+
 	private final List<Long> crashedAtMs = new CopyOnWriteArrayList<>();
 
 	private final ScheduledExecutorService back = Executors.newSingleThreadScheduledExecutor();
@@ -127,13 +129,8 @@
 	private void replace(String id, String service) {
 		this.crashedAtMs.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
 		this.upstreamPaths.get(id).close();
-		this.crashed.add(id);
-		this.back.schedule(() -> {
-			if (this.store.names("servers").contains(id)) {
-				this.store.remove("servers", id);
-			}
-			return addUpstream(service);
-		}, BACK_MS, TimeUnit.MILLISECONDS);
+		this.gone.add(id);
+		this.back.schedule(() -> takePlace(id, service), BACK_MS, TimeUnit.MILLISECONDS);
 	}
 
 	// When requests crashed upstreams, in their order.
@@ -141,16 +138,55 @@
 		return new ArrayList<>(this.crashedAtMs);
 	}
 
+	/**
+	 * Have an upstream say in its replies that it leaves, and nothing in its entry. It
+	 * serves on, ends after a while, and another takes its place.
+	 * @param id the upstream
+	 * @param afterMs when it ends, in milliseconds
+	 */
+	void leave(String id, long afterMs) {
+		this.leaving.add(id);
+		upstream(id).sayLeaving("1");
+		this.back.schedule(() -> {
+			if (!lives(id)) {
+				return null;
+			}
+			this.gone.add(id);
+			this.upstreamPaths.get(id).close();
+			return takePlace(id, service(id));
+		}, afterMs, TimeUnit.MILLISECONDS);
+	}
+
+	private String takePlace(String id, String service) throws IOException {
+		if (this.store.names("servers").contains(id)) {
+			this.store.remove("servers", id);
+		}
+		return addUpstream(service);
+	}
+
+	// Whether it may be told to leave, so that it and others of its service go on.
+	boolean mayLeave(String id) {
+		long staying = this.upstreams.keySet()
+			.stream()
+			.filter((each) -> service(each).equals(service(id)) && stays(each))
+			.count();
+		return stays(id) && staying > 1;
+	}
+
+	boolean stays(String id) {
+		return lives(id) && !this.leaving.contains(id);
+	}
+
 	boolean lives(String id) {
-		return !this.crashed.contains(id);
+		return !this.gone.contains(id);
 	}
 
 	void list(String id, String state) {
-		if (this.crashed.contains(id)) {
+		if (this.gone.contains(id)) {
 			return;
 		}
 		if (state.equals("draining")) {
-			this.leaving.add(id);
+			this.draining.add(id);
 		}
 		this.store.put("servers", id, upstream(id).entry(service(id), DOMAIN, state));
 	}
@@ -158,8 +194,8 @@
 	/** What the operator and the upstreams have written last, once more. */
 	synchronized void writeAgain() {
 		this.store.put("config", "main", String.format(CONFIG, this.version));
-		Set<String> leaving = Set.copyOf(this.leaving);
-		this.upstreams.keySet().forEach((id) -> list(id, leaving.contains(id) ? "draining" : "ready"));
+		Set<String> draining = Set.copyOf(this.draining);
+		this.upstreams.keySet().forEach((id) -> list(id, draining.contains(id) ? "draining" : "ready"));
 	}
 
 	private static String service(String id) {
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -55,6 +57,16 @@
 
 	private static final long LIMIT_SPAN_MS = 4_000;
 
+	/** A rest that is asked for, from when on it is kept and how long that is watched. */
+	private static final long REST_MS = 8_000;
+
+	private static final long REST_KEPT_FROM_MS = 500;
+
+	private static final long REST_WATCHED_MS = 2_000;
+
+	/** When an upstream ends after it has said that it leaves, in milliseconds. */
+	private static final long LEAVES_IN_MS = 9_000;
+
 	/** Copies of a request that crashes upstreams, and the pause between them. */
 	private static final int COPIES = 10;
 
@@ -90,6 +102,8 @@
 				checkRecovery(fleet, callers, violations, "recovered");
 				checkLimit(fleet, "plain", violations);
 				checkLimit(fleet, "engine", violations);
+				checkRest(fleet, callers, violations);
+				checkWordOfLeaving(fleet, violations);
 				checkCrashing(fleet, callers, violations);
 				checkConfiguration(fleet, callers, violations);
 				checkReturn(fleet, callers, violations);
@@ -142,10 +156,56 @@
 		}
 	}
 
+	// Each VM sends no more than two requests to an upstream within a rest that it was
+	// asked for.
+	private static void checkRest(SoakFleet fleet, SoakCallers callers, Violations violations) {
+		List<String> ids = Stream.of("plain", "engine").map((service) -> first(fleet, service)).toList();
+		ids.forEach((id) -> fleet.upstream(id).askForRest(String.valueOf(REST_MS / 1_000)));
+		for (SoakNode node : fleet.nodes()) {
+			callers.served(node, "/plain/x", CALLS, "rest-plain" + node.vm() + "-");
+			callers.served(node, "/stream/x", CALLS, "rest-stream" + node.vm() + "-");
+		}
+		SoakCallers.pause(REST_KEPT_FROM_MS);
+		Map<String, Integer> within = arrivals(fleet, ids, REST_WATCHED_MS);
+		ids.forEach((id) -> fleet.upstream(id).endRest());
+		within.forEach((id, count) -> {
+			if (count > 2 * fleet.nodes().size()) {
+				violations.add(id + " had asked for rest and got " + count + " in " + REST_WATCHED_MS + " ms");
+			}
+		});
+	}
+
+	// An upstream that says in its replies that it leaves gets nothing new, though the
+	// store is away and its entry says nothing.
+	private static void checkWordOfLeaving(SoakFleet fleet, Violations violations) {
+		List<String> ids = Stream.of("plain", "engine", "pool").map((service) -> first(fleet, service)).toList();
+		fleet.store().setDown(true);
+		ids.forEach((id) -> fleet.leave(id, LEAVES_IN_MS));
+		SoakCallers.pause(CALM_MS + DRAIN_MS);
+		Map<String, Integer> late = arrivals(fleet, ids, DRAIN_MS);
+		fleet.store().setDown(false);
+		SoakCallers.pause(CALM_MS);
+		late.forEach((id, count) -> {
+			if (count > 0) {
+				violations.add(id + " had said that it leaves and got " + count + " later than " + DRAIN_MS + " ms");
+			}
+		});
+	}
+
+	// How many requests and calls come to upstreams within a span.
+	private static Map<String, Integer> arrivals(SoakFleet fleet, List<String> ids, long spanMs) {
+		Map<String, Integer> before = new HashMap<>();
+		ids.forEach((id) -> before.put(id, fleet.upstream(id).arrivalsMs().size()));
+		SoakCallers.pause(spanMs);
+		Map<String, Integer> within = new HashMap<>();
+		ids.forEach((id) -> within.put(id, fleet.upstream(id).arrivalsMs().size() - before.get(id)));
+		return within;
+	}
+
 	private static String first(SoakFleet fleet, String service) {
 		return fleet.upstreamIds()
 			.stream()
-			.filter((id) -> id.startsWith("i-" + service) && fleet.lives(id))
+			.filter((id) -> id.startsWith("i-" + service) && fleet.stays(id))
 			.findFirst()
 			.orElseThrow();
 	}
