--- a/core/src/main/java/org/tallycart/core/limit/NamedLimits.java
+++ b/core/src/main/java/org/tallycart/core/limit/NamedLimits.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.tallycart.core.time.HybridTimestamp;
 
@@ -31,11 +32,7 @@
 	 */
 	private static final long LIFTED_MS = 30_000;
 
-	private final Map<String, Named> limits = new HashMap<>();
-
-	private final Map<String, OptionalDouble> told = new HashMap<>();
-
-	private final Map<String, Long> learnedMs = new HashMap<>();
+	private final Map<String, Known> limits = new HashMap<>();
 
 	/**
 	 * Take what was said of an upstream's limit.
@@ -46,21 +43,17 @@
 	 * @return whether others should hear of it
 	 */
 	public boolean hear(String incarnation, OptionalDouble perSecond, HybridTimestamp said, long nowMs) {
-		Named known = this.limits.get(incarnation);
-		if ((known == null && perSecond.isEmpty()) || (known != null && known.said.compareTo(said) >= 0)) {
+		Known known = this.limits.get(incarnation);
+		if ((known == null && perSecond.isEmpty()) || (known != null && known.named.said.compareTo(said) >= 0)) {
 			return false;
 		}
-		this.limits.put(incarnation, new Named(perSecond, said));
-		this.learnedMs.put(incarnation, nowMs);
-		if (!news(incarnation, perSecond)) {
-			return false;
-		}
-		this.told.put(incarnation, perSecond);
-		return true;
+		OptionalDouble told = (known != null) ? known.told : OptionalDouble.empty();
+		boolean news = news(told, perSecond);
+		this.limits.put(incarnation, new Known(new Named(perSecond, said), news ? perSecond : told, nowMs));
+		return news;
 	}
 
-	private boolean news(String incarnation, OptionalDouble perSecond) {
-		OptionalDouble before = this.told.getOrDefault(incarnation, OptionalDouble.empty());
+	private static boolean news(OptionalDouble before, OptionalDouble perSecond) {
 		if (before.isEmpty() || perSecond.isEmpty()) {
 			return before.isPresent() != perSecond.isPresent();
 		}
@@ -82,7 +75,8 @@
 	 * @return what it has said last
 	 */
 	public Named known(String incarnation) {
-		return this.limits.getOrDefault(incarnation, Named.NOTHING);
+		Known known = this.limits.get(incarnation);
+		return (known != null) ? known.named : Named.NOTHING;
 	}
 
 	/**
@@ -98,7 +92,9 @@
 	 * @return what each upstream has said last, by its incarnation
 	 */
 	public Map<String, Named> all() {
-		return Map.copyOf(this.limits);
+		return this.limits.entrySet()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, (entry) -> entry.getValue().named));
 	}
 
 	/**
@@ -106,7 +102,7 @@
 	 * @return the count
 	 */
 	public long count() {
-		return this.limits.values().stream().filter((named) -> named.perSecond.isPresent()).count();
+		return this.limits.values().stream().filter((known) -> known.named.perSecond.isPresent()).count();
 	}
 
 	/**
@@ -116,11 +112,20 @@
 	 */
 	public void expire(Predicate<String> listed, long nowMs) {
 		this.limits.entrySet().removeIf((entry) -> {
-			boolean old = nowMs - this.learnedMs.getOrDefault(entry.getKey(), nowMs) > LIFTED_MS;
-			return old && (entry.getValue().perSecond.isEmpty() || !listed.test(entry.getKey()));
+			Known known = entry.getValue();
+			boolean old = nowMs - known.learnedMs > LIFTED_MS;
+			return old && (known.named.perSecond.isEmpty() || !listed.test(entry.getKey()));
 		});
-		this.told.keySet().retainAll(this.limits.keySet());
-		this.learnedMs.keySet().retainAll(this.limits.keySet());
+	}
+
+	/**
+	 * What is known of one upstream.
+	 *
+	 * @param named what it has said last
+	 * @param told the limit that others were told last; empty if none
+	 * @param learnedMs when this VM learned what it said last
+	 */
+	private record Known(Named named, OptionalDouble told, long learnedMs) {
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -15,6 +15,7 @@
 import org.tallycart.core.pool.PoolDispatcher;
 import org.tallycart.core.serving.PoolSpec;
 import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.serving.UpstreamReply;
 import org.tallycart.http.event.CallFailure;
 import org.tallycart.http.event.HttpExchange;
 import org.tallycart.http.event.WholeReply;
@@ -160,12 +161,13 @@
 	}
 
 	private void onAnswer(PoolCall call, WholeReply reply, long now) {
-		this.parts.statements().onReply(call.worker(), UpstreamCodec.decode(reply.head()));
+		UpstreamReply head = UpstreamCodec.decode(reply.head());
+		this.parts.statements().onReply(call.worker(), head);
 		Either<String, List<PieceOutcome>> outcomes = PieceCodec.outcomes(reply.head(), reply.body(),
 				call.jobs().size());
 		if (outcomes.isLeft()) {
 			logEnd(call, outcomes.getLeft());
-			this.dispatcher.onFailure(call.number(), !PieceCodec.notBegun(reply.head()), now);
+			this.dispatcher.onFailure(call.number(), !head.notRun(), now);
 			return;
 		}
 		long made = outcomes.get().stream().filter((o) -> o.status() == PieceOutcome.Status.MADE).count();
--- a/node/src/main/java/org/tallycart/node/statement/UpstreamStatements.java
+++ b/node/src/main/java/org/tallycart/node/statement/UpstreamStatements.java
@@ -132,7 +132,7 @@
 			}
 			return false;
 		}
-		if (!this.unreadable.isEmpty()) {
+		if (stated.value().isPresent() && !this.unreadable.isEmpty()) {
 			Optional.ofNullable(this.unreadable.get(upstream.incarnation())).ifPresent((kinds) -> kinds.remove(kind));
 		}
 		return true;
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -189,32 +189,26 @@
 				this.settings.capacity());
 		this.own = Optional.of(record);
 		peers.introduce(record);
-		publish(record);
+		publish(record, this::onFirstPublished);
 		this.loop.every(REVIEW_MS, this::review);
 	}
 
-	private void publish(VmRecord own) {
+	// Tries until it is done.
+	private void publish(VmRecord own, Runnable onDone) {
 		this.records.publish(own, (done) -> {
 			if (done) {
 				this.recordedMs = this.loop.nowMs();
-				this.vms.follow();
-				this.chooser.onRecorded(this.loop.nowMs());
+				onDone.run();
 			}
 			else {
-				this.loop.after(PUBLISH_RETRY_MS, () -> publish(own));
+				this.loop.after(PUBLISH_RETRY_MS, () -> publish(own, onDone));
 			}
 		});
 	}
 
-	private void publishAgain(VmRecord own) {
-		this.records.publish(own, (done) -> {
-			if (done) {
-				this.recordedMs = this.loop.nowMs();
-			}
-			else {
-				this.loop.after(PUBLISH_RETRY_MS, () -> publishAgain(own));
-			}
-		});
+	private void onFirstPublished() {
+		this.vms.follow();
+		this.chooser.onRecorded(this.loop.nowMs());
 	}
 
 	private void onRecords(Collection<VmRecord> all) {
@@ -391,7 +385,8 @@
 		}
 		this.onNewEra.run();
 		if (this.loop.nowMs() - this.recordedMs < COPY_AGE_MS) {
-			this.own.ifPresent(this::publishAgain);
+			this.own.ifPresent((record) -> publish(record, () -> {
+			}));
 		}
 		if (following()) {
 			this.loop.later(() -> this.kinds.forEach((kind) -> kind.followSince(to)));
