--- a/core/src/main/java/org/tallycart/core/fleet/Duty.java
+++ b/core/src/main/java/org/tallycart/core/fleet/Duty.java
@@ -36,15 +36,6 @@
 		return new Duty("follow/" + failureDomain, Optional.of(failureDomain), false);
 	}
 
-	/**
-	 * Return whether there must not be two VMs that hold it for others. Whoever holds it
-	 * then tells all VMs, as some may not have read of it yet.
-	 * @return true if so
-	 */
-	boolean exclusive() {
-		return equals(GRANT);
-	}
-
 	boolean mayBeHeldBy(VmRecord record) {
 		return this.failureDomain.map(record.failureDomain()::equals).orElse(true);
 	}
--- a/core/src/main/java/org/tallycart/core/fleet/DutyRanks.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyRanks.java
@@ -82,10 +82,6 @@
 		return ranked;
 	}
 
-	Set<Duty> wanted() {
-		return this.wanted.keySet();
-	}
-
 	Collection<List<String>> ofWanted() {
 		return this.wanted.values();
 	}
--- a/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
+++ b/core/src/main/java/org/tallycart/core/fleet/DutyTable.java
@@ -41,8 +41,6 @@
 
 	private final String vm;
 
-	private final KnownVms known = new KnownVms();
-
 	private final DutyRanks ranks = new DutyRanks();
 
 	private final Map<String, PeerLink> links = new HashMap<>();
@@ -61,41 +59,13 @@
 
 	/**
 	 * Take the VMs that may exist.
-	 * @param listed their records
-	 */
-	public void know(Collection<VmRecord> listed) {
-		this.known.list(listed);
-		rank();
-	}
-
-	/**
-	 * Take what a VM tells of itself.
-	 * @param record its record
-	 * @param nowMs the steady clock
+	 * @param known their records
 	 */
-	public void onTold(VmRecord record, long nowMs) {
-		if (this.known.onTold(record, nowMs)) {
-			rank();
-		}
-	}
-
-	private void rank() {
-		this.ranks.know(this.known.all());
+	public void know(Collection<VmRecord> known) {
+		this.ranks.know(known);
 		this.links.keySet().retainAll(this.ranks.vms());
 	}
 
-	/**
-	 * Return whether this VM has to tell all others of itself: it holds a duty that no
-	 * two VMs may hold. Of VMs that know different others each top of a rank does so;
-	 * those that it does not know have read the records later, and so know it.
-	 * @return true if so
-	 */
-	public boolean announces() {
-		return this.ranks.wanted()
-			.stream()
-			.anyMatch((duty) -> duty.exclusive() && isThisAndWorks(this.vm) && holder(duty).equals(this.vm));
-	}
-
 	/**
 	 * Take the duties that matter to this VM.
 	 * @param duties all of them
@@ -174,17 +144,8 @@
 	 */
 	public List<VmRecord> tick(long nowMs) {
 		forgiveIfStoodStill(nowMs);
-		if (this.known.expire(nowMs)) {
-			rank();
-		}
 		Map<String, Boolean> roles = new HashMap<>();
 		this.ranks.ofWanted().forEach((rank) -> collectRoles(rank, roles, nowMs));
-		if (announces()) {
-			this.ranks.vms()
-				.stream()
-				.filter((name) -> !name.equals(this.vm))
-				.forEach((name) -> roles.putIfAbsent(name, false));
-		}
 		keepFormer(roles, nowMs);
 		List<VmRecord> due = new ArrayList<>();
 		roles.forEach((name, asHolder) -> {
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -55,8 +55,6 @@
 
 	private final HeardVms heard;
 
-	private Optional<VmRecord> own = Optional.empty();
-
 	/**
 	 * Create a mesh.
 	 * @param vm this VM's name
@@ -82,14 +80,6 @@
 		this.loop.every(TICK_MS, this::tick);
 	}
 
-	/**
-	 * Take this VM's own record, which it tells to others where they have to know it.
-	 * @param record the record
-	 */
-	public void introduce(VmRecord record) {
-		this.own = Optional.of(record);
-	}
-
 	/**
 	 * Take the VMs that may exist.
 	 * @param records what they tell of themselves
@@ -140,9 +130,6 @@
 	private void ask(VmRecord record) {
 		NodeBeat.Builder question = NodeBeat.newBuilder().setDraining(this.table.draining());
 		this.beats.onAsking(record.vm(), question);
-		if (this.table.announces()) {
-			this.own.ifPresent((own) -> question.setIntroduction(Introductions.encode(own)));
-		}
 		client(record).send(Envelope.newBuilder().setNodeBeat(question));
 	}
 
@@ -172,11 +159,6 @@
 			deliver(message);
 			return;
 		}
-		if (message.getNodeBeat().hasIntroduction()) {
-			Introductions.decode(vm, message.getNodeBeat().getIntroduction())
-				.peek((record) -> this.table.onTold(record, this.loop.nowMs()))
-				.peekLeft((reason) -> this.log.event(EventCode.CONFIG_REJECTED, "vm", vm, "reason", reason));
-		}
 		NodeBeat.Builder answer = NodeBeat.newBuilder().setAnswer(true).setDraining(this.table.draining());
 		this.beats.onAsked(vm, message.getNodeBeat(), answer);
 		peer.send(Envelope.newBuilder().setNodeBeat(answer));
--- a/node/src/main/java/org/tallycart/node/store/StoreLink.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreLink.java
@@ -188,7 +188,6 @@
 		VmRecord record = new VmRecord(this.settings.vm(), address, this.settings.failureDomain(),
 				this.settings.capacity());
 		this.own = Optional.of(record);
-		peers.introduce(record);
 		publish(record, this::onFirstPublished);
 		this.loop.every(REVIEW_MS, this::review);
 	}
--- a/wire/src/main/java/org/tallycart/wire/message/NodeBeat.java
+++ b/wire/src/main/java/org/tallycart/wire/message/NodeBeat.java
@@ -53,7 +53,6 @@
             org.tallycart.wire.message.NodeBeat.class, org.tallycart.wire.message.NodeBeat.Builder.class);
   }
 
-  private int bitField0_;
   public static final int ANSWER_FIELD_NUMBER = 1;
   private boolean answer_ = false;
   /**
@@ -163,44 +162,6 @@
     return storeAgeMs_;
   }
 
-  public static final int INTRODUCTION_FIELD_NUMBER = 7;
-  private org.tallycart.wire.message.VmIntroduction introduction_;
-  /**
-   * <pre>
-   * In a question of a VM that all others have to know, though they may not have read of it.
-   * </pre>
-   *
-   * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-   * @return Whether the introduction field is set.
-   */
-  @java.lang.Override
-  public boolean hasIntroduction() {
-    return ((bitField0_ & 0x00000001) != 0);
-  }
-  /**
-   * <pre>
-   * In a question of a VM that all others have to know, though they may not have read of it.
-   * </pre>
-   *
-   * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-   * @return The introduction.
-   */
-  @java.lang.Override
-  public org.tallycart.wire.message.VmIntroduction getIntroduction() {
-    return introduction_ == null ? org.tallycart.wire.message.VmIntroduction.getDefaultInstance() : introduction_;
-  }
-  /**
-   * <pre>
-   * In a question of a VM that all others have to know, though they may not have read of it.
-   * </pre>
-   *
-   * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-   */
-  @java.lang.Override
-  public org.tallycart.wire.message.VmIntroductionOrBuilder getIntroductionOrBuilder() {
-    return introduction_ == null ? org.tallycart.wire.message.VmIntroduction.getDefaultInstance() : introduction_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -233,9 +194,6 @@
     if (storeAgeMs_ != 0) {
       output.writeUInt32(6, storeAgeMs_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(7, getIntroduction());
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -269,10 +227,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(6, storeAgeMs_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(7, getIntroduction());
-    }
     return size;
   }
   @java.lang.Override
@@ -309,11 +263,6 @@
         != other.getPassesOn()) return false;
     if (getStoreAgeMs()
         != other.getStoreAgeMs()) return false;
-    if (hasIntroduction() != other.hasIntroduction()) return false;
-    if (hasIntroduction()) {
-      if (!getIntroduction()
-          .equals(other.getIntroduction())) return false;
-    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -343,10 +292,6 @@
         getPassesOn());
     hash = (37 * hash) + STORE_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getStoreAgeMs();
-    if (hasIntroduction()) {
-      hash = (37 * hash) + INTRODUCTION_FIELD_NUMBER;
-      hash = (53 * hash) + getIntroduction().hashCode();
-    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -470,20 +415,13 @@
 
     // Construct using org.tallycart.wire.message.NodeBeat.newBuilder()
     private Builder() {
-      maybeForceBuilderInitialization();
+
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-      maybeForceBuilderInitialization();
-    }
-    private void maybeForceBuilderInitialization() {
-      if (com.google.protobuf.GeneratedMessage
-              .alwaysUseFieldBuilders) {
-        internalGetKnownFieldBuilder();
-        internalGetIntroductionFieldBuilder();
-      }
+
     }
     @java.lang.Override
     public Builder clear() {
@@ -501,11 +439,6 @@
       bitField0_ = (bitField0_ & ~0x00000008);
       passesOn_ = false;
       storeAgeMs_ = 0;
-      introduction_ = null;
-      if (introductionBuilder_ != null) {
-        introductionBuilder_.dispose();
-        introductionBuilder_ = null;
-      }
       return this;
     }
 
@@ -567,14 +500,6 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.storeAgeMs_ = storeAgeMs_;
       }
-      int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.introduction_ = introductionBuilder_ == null
-            ? introduction_
-            : introductionBuilder_.build();
-        to_bitField0_ |= 0x00000001;
-      }
-      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -630,9 +555,6 @@
       if (other.getStoreAgeMs() != 0) {
         setStoreAgeMs(other.getStoreAgeMs());
       }
-      if (other.hasIntroduction()) {
-        mergeIntroduction(other.getIntroduction());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -695,13 +617,6 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
-            case 58: {
-              input.readMessage(
-                  internalGetIntroductionFieldBuilder().getBuilder(),
-                  extensionRegistry);
-              bitField0_ |= 0x00000040;
-              break;
-            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1152,161 +1067,6 @@
       return this;
     }
 
-    private org.tallycart.wire.message.VmIntroduction introduction_;
-    private com.google.protobuf.SingleFieldBuilder<
-        org.tallycart.wire.message.VmIntroduction, org.tallycart.wire.message.VmIntroduction.Builder, org.tallycart.wire.message.VmIntroductionOrBuilder> introductionBuilder_;
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     * @return Whether the introduction field is set.
-     */
-    public boolean hasIntroduction() {
-      return ((bitField0_ & 0x00000040) != 0);
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     * @return The introduction.
-     */
-    public org.tallycart.wire.message.VmIntroduction getIntroduction() {
-      if (introductionBuilder_ == null) {
-        return introduction_ == null ? org.tallycart.wire.message.VmIntroduction.getDefaultInstance() : introduction_;
-      } else {
-        return introductionBuilder_.getMessage();
-      }
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    public Builder setIntroduction(org.tallycart.wire.message.VmIntroduction value) {
-      if (introductionBuilder_ == null) {
-        java.util.Objects.requireNonNull(value);
-        introduction_ = value;
-      } else {
-        introductionBuilder_.setMessage(value);
-      }
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    public Builder setIntroduction(
-        org.tallycart.wire.message.VmIntroduction.Builder builderForValue) {
-      if (introductionBuilder_ == null) {
-        introduction_ = builderForValue.build();
-      } else {
-        introductionBuilder_.setMessage(builderForValue.build());
-      }
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    public Builder mergeIntroduction(org.tallycart.wire.message.VmIntroduction value) {
-      if (introductionBuilder_ == null) {
-        if (((bitField0_ & 0x00000040) != 0) &&
-          introduction_ != null &&
-          introduction_ != org.tallycart.wire.message.VmIntroduction.getDefaultInstance()) {
-          getIntroductionBuilder().mergeFrom(value);
-        } else {
-          introduction_ = value;
-        }
-      } else {
-        introductionBuilder_.mergeFrom(value);
-      }
-      if (introduction_ != null) {
-        bitField0_ |= 0x00000040;
-        onChanged();
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    public Builder clearIntroduction() {
-      bitField0_ = (bitField0_ & ~0x00000040);
-      introduction_ = null;
-      if (introductionBuilder_ != null) {
-        introductionBuilder_.dispose();
-        introductionBuilder_ = null;
-      }
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    public org.tallycart.wire.message.VmIntroduction.Builder getIntroductionBuilder() {
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return internalGetIntroductionFieldBuilder().getBuilder();
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    public org.tallycart.wire.message.VmIntroductionOrBuilder getIntroductionOrBuilder() {
-      if (introductionBuilder_ != null) {
-        return introductionBuilder_.getMessageOrBuilder();
-      } else {
-        return introduction_ == null ?
-            org.tallycart.wire.message.VmIntroduction.getDefaultInstance() : introduction_;
-      }
-    }
-    /**
-     * <pre>
-     * In a question of a VM that all others have to know, though they may not have read of it.
-     * </pre>
-     *
-     * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-     */
-    private com.google.protobuf.SingleFieldBuilder<
-        org.tallycart.wire.message.VmIntroduction, org.tallycart.wire.message.VmIntroduction.Builder, org.tallycart.wire.message.VmIntroductionOrBuilder> 
-        internalGetIntroductionFieldBuilder() {
-      if (introductionBuilder_ == null) {
-        introductionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.tallycart.wire.message.VmIntroduction, org.tallycart.wire.message.VmIntroduction.Builder, org.tallycart.wire.message.VmIntroductionOrBuilder>(
-                getIntroduction(),
-                getParentForChildren(),
-                isClean());
-        introduction_ = null;
-      }
-      return introductionBuilder_;
-    }
-
     // @@protoc_insertion_point(builder_scope:tallycart.wire.NodeBeat)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/NodeBeatOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/NodeBeatOrBuilder.java
@@ -76,31 +76,4 @@
    * @return The storeAgeMs.
    */
   int getStoreAgeMs();
-
-  /**
-   * <pre>
-   * In a question of a VM that all others have to know, though they may not have read of it.
-   * </pre>
-   *
-   * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-   * @return Whether the introduction field is set.
-   */
-  boolean hasIntroduction();
-  /**
-   * <pre>
-   * In a question of a VM that all others have to know, though they may not have read of it.
-   * </pre>
-   *
-   * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-   * @return The introduction.
-   */
-  org.tallycart.wire.message.VmIntroduction getIntroduction();
-  /**
-   * <pre>
-   * In a question of a VM that all others have to know, though they may not have read of it.
-   * </pre>
-   *
-   * <code>.tallycart.wire.VmIntroduction introduction = 7;</code>
-   */
-  org.tallycart.wire.message.VmIntroductionOrBuilder getIntroductionOrBuilder();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -171,11 +171,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tallycart_wire_NodeBeat_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_tallycart_wire_VmIntroduction_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_tallycart_wire_VmIntroduction_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_tallycart_wire_FeedObject_descriptor;
   static final 
@@ -381,68 +376,64 @@
       "(\0132\032.tallycart.wire.ShareGrant\"b\n\014FeedRe" +
       "vision\022\"\n\004feed\030\001 \001(\0162\024.tallycart.wire.Fe" +
       "ed\022\020\n\010revision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\022\017\n\007ove" +
-      "rdue\030\004 \001(\010\"\314\001\n\010NodeBeat\022\016\n\006answer\030\001 \001(\010\022" +
+      "rdue\030\004 \001(\010\"\226\001\n\010NodeBeat\022\016\n\006answer\030\001 \001(\010\022" +
       "\020\n\010draining\030\002 \001(\010\022\022\n\nsubscribes\030\003 \001(\010\022+\n" +
       "\005known\030\004 \003(\0132\034.tallycart.wire.FeedRevisi" +
       "on\022\021\n\tpasses_on\030\005 \001(\010\022\024\n\014store_age_ms\030\006 " +
-      "\001(\r\0224\n\014introduction\030\007 \001(\0132\036.tallycart.wi" +
-      "re.VmIntroduction\"K\n\016VmIntroduction\022\017\n\007a" +
-      "ddress\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\022\020\n\010" +
-      "capacity\030\003 \001(\r\"K\n\nFeedObject\022\014\n\004name\030\001 \001" +
-      "(\t\022\020\n\010revision\030\002 \001(\003\022\017\n\007content\030\003 \001(\t\022\014\n" +
-      "\004gone\030\004 \001(\010\"\311\001\n\nFeedUpdate\022\"\n\004feed\030\001 \001(\016" +
-      "2\024.tallycart.wire.Feed\022\r\n\005whole\030\002 \001(\010\022\025\n" +
-      "\rfrom_revision\030\003 \001(\003\022\020\n\010revision\030\004 \001(\003\022\024" +
-      "\n\014untrusted_ms\030\005 \001(\r\022+\n\007objects\030\006 \003(\0132\032." +
-      "tallycart.wire.FeedObject\022\013\n\003era\030\007 \001(\003\022\017" +
-      "\n\007kept_ms\030\010 \001(\r\"\227\002\n\010PieceAsk\022\022\n\nrequest_" +
-      "id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017" +
-      "\n\007service\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006" +
-      " \003(\t\022\026\n\016deadline_in_ms\030\007 \001(\021\022\027\n\017objectiv" +
-      "e_in_ms\030\010 \001(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failu" +
-      "re_domain\030\n \001(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014" +
-      "result_bytes\030\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013" +
-      "fingerprint\030\016 \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001" +
-      " \003(\0132\030.tallycart.wire.PieceAsk\"\223\002\n\013Piece" +
-      "Answer\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(" +
-      "\r\022\r\n\005piece\030\003 \001(\r\0222\n\006status\030\004 \001(\0162\".tally" +
-      "cart.wire.PieceAnswer.Status\022\016\n\006handle\030\005" +
-      " \001(\t\022\026\n\016retry_after_ms\030\006 \001(\004\"v\n\006Status\022\010" +
-      "\n\004MADE\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO" +
-      "_ROOM\020\003\022\n\n\006FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013" +
-      "HANDED_BACK\020\006\022\r\n\tNO_WORKER\020\007\"<\n\014PieceAns" +
-      "wers\022,\n\007answers\030\001 \003(\0132\033.tallycart.wire.P" +
-      "ieceAnswer\"T\n\017PieceWithdrawal\022\017\n\007service" +
-      "\030\001 \001(\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(" +
-      "\r\022\r\n\005piece\030\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013" +
-      "withdrawals\030\001 \003(\0132\037.tallycart.wire.Piece" +
-      "Withdrawal\"0\n\014PieceRelease\022\017\n\007service\030\001 " +
-      "\001(\t\022\017\n\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n" +
-      "\010releases\030\001 \003(\0132\034.tallycart.wire.PieceRe" +
-      "lease\"L\n\014CrashSuspect\022\023\n\013fingerprint\030\001 \001" +
-      "(\t\022\022\n\nrequest_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 " +
-      "\001(\r\"h\n\013CrashReport\022\023\n\013incarnation\030\001 \001(\t\022" +
-      "\024\n\014ended_ago_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132" +
-      "\034.tallycart.wire.CrashSuspect\"$\n\014CrashCl" +
-      "eared\022\024\n\014fingerprints\030\001 \003(\t\":\n\rCrashQues" +
-      "tion\022\023\n\013fingerprint\030\001 \001(\t\022\024\n\014since_ago_m" +
-      "s\030\002 \001(\r\"?\n\022QuarantinedRequest\022\023\n\013fingerp" +
-      "rint\030\001 \001(\t\022\024\n\014remaining_ms\030\002 \001(\r\"H\n\020Quar" +
-      "antineNotice\0224\n\010requests\030\001 \003(\0132\".tallyca" +
-      "rt.wire.QuarantinedRequest\"W\n\rUpstreamLi" +
-      "mit\022\023\n\013incarnation\030\001 \001(\t\022\017\n\007limited\030\002 \001(" +
-      "\010\022\022\n\nper_second\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017S" +
-      "tatementNotice\022-\n\006limits\030\001 \003(\0132\035.tallyca" +
-      "rt.wire.UpstreamLimit\022\017\n\007leaving\030\002 \003(\t\"]" +
-      "\n\010LimitAsk\022\016\n\006number\030\001 \001(\004\022,\n\005limit\030\002 \001(" +
-      "\0132\035.tallycart.wire.UpstreamLimit\022\023\n\013pati" +
-      "ence_ms\030\003 \001(\r\"m\n\013LimitAnswer\022\016\n\006number\030\001" +
-      " \001(\004\022\017\n\007granted\030\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022," +
-      "\n\005limit\030\004 \001(\0132\035.tallycart.wire.UpstreamL" +
-      "imit*R\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTR" +
-      "EAMS\020\001\022\007\n\003VMS\020\002\022\017\n\013EVACUATIONS\020\003\022\016\n\nQUAR" +
-      "ANTINE\020\004B\036\n\032org.tallycart.wire.messageP\001" +
-      "b\006proto3"
+      "\001(\r\"K\n\nFeedObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revis" +
+      "ion\030\002 \001(\003\022\017\n\007content\030\003 \001(\t\022\014\n\004gone\030\004 \001(\010" +
+      "\"\311\001\n\nFeedUpdate\022\"\n\004feed\030\001 \001(\0162\024.tallycar" +
+      "t.wire.Feed\022\r\n\005whole\030\002 \001(\010\022\025\n\rfrom_revis" +
+      "ion\030\003 \001(\003\022\020\n\010revision\030\004 \001(\003\022\024\n\014untrusted" +
+      "_ms\030\005 \001(\r\022+\n\007objects\030\006 \003(\0132\032.tallycart.w" +
+      "ire.FeedObject\022\013\n\003era\030\007 \001(\003\022\017\n\007kept_ms\030\010" +
+      " \001(\r\"\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022\r\n" +
+      "\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service\030\004" +
+      " \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016dea" +
+      "dline_in_ms\030\007 \001(\021\022\027\n\017objective_in_ms\030\010 \001" +
+      "(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_domain\030\n" +
+      " \001(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014result_byte" +
+      "s\030\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013fingerprint" +
+      "\030\016 \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132\030.tall" +
+      "ycart.wire.PieceAsk\"\223\002\n\013PieceAnswer\022\022\n\nr" +
+      "equest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030" +
+      "\003 \001(\r\0222\n\006status\030\004 \001(\0162\".tallycart.wire.P" +
+      "ieceAnswer.Status\022\016\n\006handle\030\005 \001(\t\022\026\n\016ret" +
+      "ry_after_ms\030\006 \001(\004\"v\n\006Status\022\010\n\004MADE\020\000\022\010\n" +
+      "\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM\020\003\022\n\n\006" +
+      "FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013HANDED_BACK" +
+      "\020\006\022\r\n\tNO_WORKER\020\007\"<\n\014PieceAnswers\022,\n\007ans" +
+      "wers\030\001 \003(\0132\033.tallycart.wire.PieceAnswer\"" +
+      "T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(\t\022\022\n\nr" +
+      "equest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030" +
+      "\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withdrawals" +
+      "\030\001 \003(\0132\037.tallycart.wire.PieceWithdrawal\"" +
+      "0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017\n\007hand" +
+      "les\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010releases\030\001" +
+      " \003(\0132\034.tallycart.wire.PieceRelease\"L\n\014Cr" +
+      "ashSuspect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n\nreque" +
+      "st_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h\n\013Cras" +
+      "hReport\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014ended_ag" +
+      "o_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tallycart" +
+      ".wire.CrashSuspect\"$\n\014CrashCleared\022\024\n\014fi" +
+      "ngerprints\030\001 \003(\t\":\n\rCrashQuestion\022\023\n\013fin" +
+      "gerprint\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001(\r\"?\n\022" +
+      "QuarantinedRequest\022\023\n\013fingerprint\030\001 \001(\t\022" +
+      "\024\n\014remaining_ms\030\002 \001(\r\"H\n\020QuarantineNotic" +
+      "e\0224\n\010requests\030\001 \003(\0132\".tallycart.wire.Qua" +
+      "rantinedRequest\"W\n\rUpstreamLimit\022\023\n\013inca" +
+      "rnation\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\nper_se" +
+      "cond\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017StatementNot" +
+      "ice\022-\n\006limits\030\001 \003(\0132\035.tallycart.wire.Ups" +
+      "treamLimit\022\017\n\007leaving\030\002 \003(\t\"]\n\010LimitAsk\022" +
+      "\016\n\006number\030\001 \001(\004\022,\n\005limit\030\002 \001(\0132\035.tallyca" +
+      "rt.wire.UpstreamLimit\022\023\n\013patience_ms\030\003 \001" +
+      "(\r\"m\n\013LimitAnswer\022\016\n\006number\030\001 \001(\004\022\017\n\007gra" +
+      "nted\030\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022,\n\005limit\030\004 \001" +
+      "(\0132\035.tallycart.wire.UpstreamLimit*R\n\004Fee" +
+      "d\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTREAMS\020\001\022\007\n\003V" +
+      "MS\020\002\022\017\n\013EVACUATIONS\020\003\022\016\n\nQUARANTINE\020\004B\036\n" +
+      "\032org.tallycart.wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -621,129 +612,123 @@
     internal_static_tallycart_wire_NodeBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_NodeBeat_descriptor,
-        new java.lang.String[] { "Answer", "Draining", "Subscribes", "Known", "PassesOn", "StoreAgeMs", "Introduction", });
-    internal_static_tallycart_wire_VmIntroduction_descriptor =
-      getDescriptor().getMessageType(29);
-    internal_static_tallycart_wire_VmIntroduction_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_tallycart_wire_VmIntroduction_descriptor,
-        new java.lang.String[] { "Address", "FailureDomain", "Capacity", });
+        new java.lang.String[] { "Answer", "Draining", "Subscribes", "Known", "PassesOn", "StoreAgeMs", });
     internal_static_tallycart_wire_FeedObject_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(29);
     internal_static_tallycart_wire_FeedObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_FeedObject_descriptor,
         new java.lang.String[] { "Name", "Revision", "Content", "Gone", });
     internal_static_tallycart_wire_FeedUpdate_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(30);
     internal_static_tallycart_wire_FeedUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_FeedUpdate_descriptor,
         new java.lang.String[] { "Feed", "Whole", "FromRevision", "Revision", "UntrustedMs", "Objects", "Era", "KeptMs", });
     internal_static_tallycart_wire_PieceAsk_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(31);
     internal_static_tallycart_wire_PieceAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAsk_descriptor,
         new java.lang.String[] { "RequestId", "Stage", "Piece", "Service", "Key", "Inputs", "DeadlineInMs", "ObjectiveInMs", "Priority", "FailureDomain", "MovedBytes", "ResultBytes", "Together", "Fingerprint", });
     internal_static_tallycart_wire_PieceAsks_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(32);
     internal_static_tallycart_wire_PieceAsks_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAsks_descriptor,
         new java.lang.String[] { "Asks", });
     internal_static_tallycart_wire_PieceAnswer_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(33);
     internal_static_tallycart_wire_PieceAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAnswer_descriptor,
         new java.lang.String[] { "RequestId", "Stage", "Piece", "Status", "Handle", "RetryAfterMs", });
     internal_static_tallycart_wire_PieceAnswers_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(34);
     internal_static_tallycart_wire_PieceAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceAnswers_descriptor,
         new java.lang.String[] { "Answers", });
     internal_static_tallycart_wire_PieceWithdrawal_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(35);
     internal_static_tallycart_wire_PieceWithdrawal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceWithdrawal_descriptor,
         new java.lang.String[] { "Service", "RequestId", "Stage", "Piece", });
     internal_static_tallycart_wire_PieceWithdrawals_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(36);
     internal_static_tallycart_wire_PieceWithdrawals_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceWithdrawals_descriptor,
         new java.lang.String[] { "Withdrawals", });
     internal_static_tallycart_wire_PieceRelease_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(37);
     internal_static_tallycart_wire_PieceRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceRelease_descriptor,
         new java.lang.String[] { "Service", "Handles", });
     internal_static_tallycart_wire_PieceReleases_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(38);
     internal_static_tallycart_wire_PieceReleases_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_PieceReleases_descriptor,
         new java.lang.String[] { "Releases", });
     internal_static_tallycart_wire_CrashSuspect_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(39);
     internal_static_tallycart_wire_CrashSuspect_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_CrashSuspect_descriptor,
         new java.lang.String[] { "Fingerprint", "RequestId", "SentAgoMs", });
     internal_static_tallycart_wire_CrashReport_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(40);
     internal_static_tallycart_wire_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_CrashReport_descriptor,
         new java.lang.String[] { "Incarnation", "EndedAgoMs", "Suspects", });
     internal_static_tallycart_wire_CrashCleared_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(41);
     internal_static_tallycart_wire_CrashCleared_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_CrashCleared_descriptor,
         new java.lang.String[] { "Fingerprints", });
     internal_static_tallycart_wire_CrashQuestion_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(42);
     internal_static_tallycart_wire_CrashQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_CrashQuestion_descriptor,
         new java.lang.String[] { "Fingerprint", "SinceAgoMs", });
     internal_static_tallycart_wire_QuarantinedRequest_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(43);
     internal_static_tallycart_wire_QuarantinedRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_QuarantinedRequest_descriptor,
         new java.lang.String[] { "Fingerprint", "RemainingMs", });
     internal_static_tallycart_wire_QuarantineNotice_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(44);
     internal_static_tallycart_wire_QuarantineNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_QuarantineNotice_descriptor,
         new java.lang.String[] { "Requests", });
     internal_static_tallycart_wire_UpstreamLimit_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(45);
     internal_static_tallycart_wire_UpstreamLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_UpstreamLimit_descriptor,
         new java.lang.String[] { "Incarnation", "Limited", "PerSecond", "Said", });
     internal_static_tallycart_wire_StatementNotice_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(46);
     internal_static_tallycart_wire_StatementNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_StatementNotice_descriptor,
         new java.lang.String[] { "Limits", "Leaving", });
     internal_static_tallycart_wire_LimitAsk_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(47);
     internal_static_tallycart_wire_LimitAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_LimitAsk_descriptor,
         new java.lang.String[] { "Number", "Limit", "PatienceMs", });
     internal_static_tallycart_wire_LimitAnswer_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(48);
     internal_static_tallycart_wire_LimitAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_LimitAnswer_descriptor,
