--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -56,8 +56,12 @@
 		this.dispatcher = new PoolDispatcher(spec, parts.callLimit());
 	}
 
-	void update(PoolSpec spec, List<UpstreamEntry> workers, Set<String> evacuated) {
+	void update(PoolSpec spec) {
 		this.dispatcher.updateSpec(spec);
+		planPump();
+	}
+
+	void updateWorkers(List<UpstreamEntry> workers, Set<String> evacuated) {
 		this.dispatcher.updateWorkers(workers, evacuated);
 		planPump();
 	}
--- a/node/src/main/java/org/tallycart/node/piece/PoolDrivers.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDrivers.java
@@ -57,11 +57,7 @@
 		return this.config.current().flatMap((current) -> current.service(service)).flatMap(ServiceSpec::pool);
 	}
 
-	// None before it is known which failure domains are evacuated.
 	private List<UpstreamEntry> workers(String service) {
-		if (!this.directory.known()) {
-			return List.of();
-		}
 		return this.directory.all(service).stream().map((state) -> state.entry()).toList();
 	}
 
@@ -70,8 +66,14 @@
 		this.drivers.forEach((service, driver) -> spec(service).ifPresent((spec) -> update(driver, service, spec)));
 	}
 
+	// Before it is known which workers there are, and which failure domains are
+	// evacuated,
+	// pieces wait.
 	private void update(PoolDriver driver, String service, PoolSpec spec) {
-		driver.update(spec, workers(service), this.directory.evacuated());
+		driver.update(spec);
+		if (this.directory.known()) {
+			driver.updateWorkers(workers(service), this.directory.evacuated());
+		}
 	}
 
 	// Does something with a pool that this VM makes calls of, and nothing else.
--- /dev/null
+++ b/node/src/test/java/org/tallycart/node/piece/PoolDriversTests.java
@@ -0,0 +1,71 @@
+package org.tallycart.node.piece;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.tallycart.core.pool.CallLimit;
+import org.tallycart.core.pool.PieceId;
+import org.tallycart.core.pool.PieceJob;
+import org.tallycart.core.pool.PieceOutcome;
+import org.tallycart.core.serving.CallerLimits;
+import org.tallycart.core.serving.PoolSpec;
+import org.tallycart.core.serving.ServiceSpec;
+import org.tallycart.core.serving.ServingConfig;
+import org.tallycart.core.upstream.UpstreamDirectory;
+import org.tallycart.http.event.HttpClient;
+import org.tallycart.node.Loop;
+import org.tallycart.node.log.NodeLog;
+import org.tallycart.node.metrics.NodeMetrics;
+import org.tallycart.node.store.ConfigInForce;
+import org.tallycart.runtime.process.Guard;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/**
+ * Tests for pools at a VM that has just started.
+ */
+public class PoolDriversTests {
+
+	private static final String POOL = "pool";
+
+	private static final PoolSpec SPEC = new PoolSpec(1, 2, 4, 200, 10, 1_000_000, 4_000);
+
+	/** Pattern: a VM is asked for pieces before it has read which workers there are. */
+	@Test
+	void piecesWaitUntilTheWorkersAreKnown() {
+		EmbeddedChannel channel = new EmbeddedChannel();
+		Loop loop = new Loop(channel.eventLoop(), Guard.install((code, detail) -> {
+			throw new IllegalStateException(detail);
+		}), () -> 0);
+		NodeLog log = new NodeLog(() -> 0);
+		UpstreamDirectory directory = new UpstreamDirectory();
+		HttpClient http = HttpClient.create(channel.eventLoop(), () -> 0);
+		HandleReturns returns = new HandleReturns(http, loop, directory);
+		PoolDrivers drivers = new PoolDrivers(
+				new PoolParts(http, loop, log, returns, null, null, CallLimit.NONE, new NodeMetrics()), config(log),
+				directory);
+		List<PieceOutcome> heard = new ArrayList<>();
+		PieceJob job = PieceJob.of(new PieceId("r", 0, 0), POOL).from("k", List.of()).needed(3_000, 5_000).build();
+		drivers.driver(POOL).orElseThrow().ask(job, (id, outcome) -> heard.add(outcome));
+		channel.runPendingTasks();
+		assertEquals(heard, List.of());
+		directory.replace(List.of(), 0);
+		drivers.onChange();
+		channel.runPendingTasks();
+		assertEquals(heard.stream().map(PieceOutcome::status).toList(), List.of(PieceOutcome.Status.NO_WORKER));
+		channel.close();
+	}
+
+	private static ConfigInForce config(NodeLog log) {
+		ConfigInForce config = new ConfigInForce(log);
+		ServiceSpec service = new ServiceSpec(POOL, 10, Optional.of(SPEC), false, 0);
+		config.offer(new ServingConfig(1, List.of(), Map.of(POOL, service), CallerLimits.BEFORE_CONFIGURATION, Map.of(),
+				false));
+		return config;
+	}
+
+}
