--- a/core/src/main/java/org/tallycart/core/pool/QueueOrder.java
+++ b/core/src/main/java/org/tallycart/core/pool/QueueOrder.java
@@ -18,10 +18,8 @@
  * before it, or it itself, gives way and comes after all that can be on time (Moore and
  * Hodgson's rule for the fewest late jobs, with ranks in place of lengths).
  * <p>
- * What it buys, in shares of the worth of a day with bursts and faults, by paired plays
- * with and without it: 0.01 for the order, most of it for the least urgent kind, and 0.02
- * for the limit on late work, most of it on days on which the pools lose workers. A limit
- * twice as high loses that again.
+ * The order protects the least urgent kind from waiting behind all others, and the limit
+ * on late work protects what can still be on time when a pool loses workers.
  * <p>
  * Not thread-safe: made for one choice.
  */
--- a/node/src/main/java/org/tallycart/node/statement/PermitService.java
+++ b/node/src/main/java/org/tallycart/node/statement/PermitService.java
@@ -24,11 +24,9 @@
  * for all, or here, where this VM does so. A request to another upstream asks nobody.
  * Calls of a stage pool are all made by its dispatcher, which grants them itself.
  * <p>
- * What it buys: an upstream with a limit of two a second gets 8 to 12 requests in any
- * four seconds from three VMs, over restarts and outages of the store, where it got 74 to
- * 112 ({@code NamedLimitTests}), and over eight tenths of what it takes are used at any
- * number of VMs ({@code LimitedFleetTests}). A fixed part for each VM would keep the
- * limit, too, and waste what falls to VMs whose callers do not want it.
+ * It protects upstreams in need from all VMs together, and uses what they still take. A
+ * fixed part for each VM would keep the limit, too, and waste what falls to VMs whose
+ * callers do not want it.
  * <p>
  * Invariants: without a permit nothing is sent to an upstream that is known to have a
  * limit; a permit is used once. A VM that does not know the others grants nothing. Not
