Logs and counts tell how the end of an upstream's reply was detected

A stream that ended left no line on how its reply was framed, whether its end was read or only concluded from the closed channel, and whether it ended within an event; the three hypotheses looked the same. TC6007 of a stream now has ended_by and remainder_bytes, TC6004 of other replies ended_by, and replies_ended_* counts them. The client connection reads the end of the input as an event of its own (half-closure allowed) and then closes; no decision changes.

--- a/http/src/main/java/org/tallycart/http/event/HttpClient.java
+++ b/http/src/main/java/org/tallycart/http/event/HttpClient.java
@@ -165,6 +165,7 @@
 			ChannelFuture future = new Bootstrap().group(HttpClient.this.group)
 				.channel(NioSocketChannel.class)
 				.option(ChannelOption.TCP_NODELAY, true)
+				.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.request.connectTimeoutMs())
 				.handler(connection)
 				.connect(this.request.address().host(), this.request.address().port());
--- a/http/src/main/java/org/tallycart/http/event/ReplyListener.java
+++ b/http/src/main/java/org/tallycart/http/event/ReplyListener.java
@@ -5,8 +5,8 @@
 /**
  * Listener of the reply to one call. Called on the event loop: must not block.
  * <p>
- * Invariant: at most one of {@link #onEnd()} and {@link #onFailure(CallFailure)} is
- * called, and no method after that or after the call is cancelled.
+ * Invariant: at most one of {@link #onEnd(ReplyEnd)} and {@link #onFailure(CallFailure)}
+ * is called, and no method after that or after the call is cancelled.
  *
  * @since 0.1
  */
@@ -25,8 +25,11 @@
 	 */
 	void onBody(byte[] part);
 
-	/** Handle the end of a complete reply. */
-	void onEnd();
+	/**
+	 * Handle the end of a complete reply.
+	 * @param end how the end was detected
+	 */
+	void onEnd(ReplyEnd end);
 
 	/**
 	 * Handle the failure of the call.
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
@@ -40,6 +41,10 @@
 
 	private boolean skippingMessage;
 
+	private boolean closeDelimited;
+
+	private boolean inputClosed;
+
 	private boolean keepAlive;
 
 	private long idleLimitMs;
@@ -108,6 +113,14 @@
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			this.inputClosed = true;
+			context.close();
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		if (this.listener != null && !this.reader.onInputEnd()) {
@@ -141,7 +154,8 @@
 		}
 		this.skippingMessage = !currentListener.onHead(head);
 		readConnectionFields(head);
-		if (framing.get().kind() == BodyFraming.Kind.UNTIL_CLOSE) {
+		this.closeDelimited = framing.get().kind() == BodyFraming.Kind.UNTIL_CLOSE;
+		if (this.closeDelimited) {
 			this.keepAlive = false;
 		}
 		return framing;
@@ -181,8 +195,15 @@
 			requireContext().close();
 		}
 		if (currentListener != null) {
-			currentListener.onEnd();
+			currentListener.onEnd(replyEnd());
+		}
+	}
+
+	private ReplyEnd replyEnd() {
+		if (!this.closeDelimited) {
+			return ReplyEnd.FRAMED;
 		}
+		return this.inputClosed ? ReplyEnd.INPUT_CLOSED : ReplyEnd.CONNECTION_LOST;
 	}
 
 	@Override
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -328,7 +328,7 @@
 		}
 
 		@Override
-		public void onEnd() {
+		public void onEnd(ReplyEnd end) {
 			this.outcome.add(this.text.toString());
 		}
 
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import org.tallycart.http.event.ReplyEnd;
 import org.tallycart.node.statement.StatementKind;
 import org.tallycart.platform.store.EntryProblem;
 import org.tallycart.platform.store.StoreCall;
@@ -66,6 +67,14 @@
 		this.registry.counter("sends.failed." + kind).inc();
 	}
 
+	/**
+	 * Count a reply of an upstream.
+	 * @param end how its end was detected
+	 */
+	public void onReplyEnded(ReplyEnd end) {
+		this.registry.counter("replies.ended." + end.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
 	/** Count a retry that the retry budget denied. */
 	public void onRetryDenied() {
 		this.registry.counter("sends.repeats_denied").inc();
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -14,6 +14,7 @@
 import org.tallycart.http.event.Call;
 import org.tallycart.http.event.CallFailure;
 import org.tallycart.http.event.ClientRequest;
+import org.tallycart.http.event.ReplyEnd;
 import org.tallycart.http.event.ReplyListener;
 import org.tallycart.node.crash.InterruptedRequest;
 import org.tallycart.platform.http.UpstreamCodec;
@@ -165,7 +166,7 @@
 	}
 
 	@Override
-	public void onEnd() {
+	public void onEnd(ReplyEnd end) {
 		UpstreamReply head = this.reply;
 		if (head == null || this.ended) {
 			return;
@@ -178,18 +179,18 @@
 		else if (isStream(head)) {
 			this.upstream.onSuccess();
 			close();
-			this.listener.onStreamEnd(this);
+			this.listener.onStreamEnd(this, end);
 		}
 		else if (head.success() && !head.stamped()) {
 			this.upstream.onError();
 			fail(new AttemptFailure(AttemptFailure.Kind.BROKEN, "success without the upstream's stamp"));
 		}
 		else {
-			onReply(head);
+			onReply(head, end);
 		}
 	}
 
-	private void onReply(UpstreamReply head) {
+	private void onReply(UpstreamReply head, ReplyEnd end) {
 		if (head.success()) {
 			this.upstream.onSuccess();
 		}
@@ -197,7 +198,7 @@
 			this.upstream.onError();
 		}
 		close();
-		this.listener.onReply(this, head, this.body.toByteArray());
+		this.listener.onReply(this, head, this.body.toByteArray(), end);
 	}
 
 	@Override
@@ -276,16 +277,18 @@
 		/**
 		 * Handle the end of a complete stream.
 		 * @param attempt the attempt
+		 * @param end how the end was detected
 		 */
-		void onStreamEnd(Attempt attempt);
+		void onStreamEnd(Attempt attempt, ReplyEnd end);
 
 		/**
 		 * Handle a complete reply that is not a stream.
 		 * @param attempt the attempt
 		 * @param head the head of the reply
 		 * @param body the body of the reply
+		 * @param end how the end was detected
 		 */
-		void onReply(Attempt attempt, UpstreamReply head, byte[] body);
+		void onReply(Attempt attempt, UpstreamReply head, byte[] body, ReplyEnd end);
 
 		/**
 		 * Handle the end of an attempt that has no reply for the caller.
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -16,6 +16,7 @@
 import org.tallycart.core.serving.Workspace;
 import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
+import org.tallycart.http.event.ReplyEnd;
 import org.tallycart.http.event.Responder;
 import org.tallycart.runtime.event.EventCode;
 
@@ -252,17 +253,20 @@
 	}
 
 	@Override
-	public void onStreamEnd(Attempt endedAttempt) {
+	public void onStreamEnd(Attempt endedAttempt, ReplyEnd end) {
+		this.context.metrics().onReplyEnded(end);
 		this.context.crashDetector().onServed(this.plan.fingerprint());
-		this.responder.write(this.events.takeRemainder());
+		byte[] remainder = this.events.takeRemainder();
+		this.responder.write(remainder);
 		this.responder.end();
 		finish("stream_complete", EventCode.REQUEST_ANSWERED, "stream", "complete", "first_ms", this.firstEventMs,
-				"sends", this.attempts);
+				"sends", this.attempts, "ended_by", end, "remainder_bytes", remainder.length);
 	}
 
 	@Override
-	public void onReply(Attempt endedAttempt, UpstreamReply head, byte[] body) {
-		logReply(endedAttempt, "status " + head.status());
+	public void onReply(Attempt endedAttempt, UpstreamReply head, byte[] body, ReplyEnd end) {
+		this.context.metrics().onReplyEnded(end);
+		logReply(endedAttempt, "status " + head.status() + ", ended by " + end);
 		boolean failed = head.status() >= MIN_ERROR_STATUS;
 		if (!failed) {
 			this.context.crashDetector().onServed(this.plan.fingerprint());
