Callers that speak HTTP/1.0 get a response that ends with its connection, and is reset if it breaks off

What callers saw: a streamed response to an HTTP/1.0 request came in chunks, which such a caller reads as part of the body; and a broken one ended like a whole one, since the close of the connection is all the framing that it has. Cause: Responder.begin took chunks for granted, and abort closes the connection normally. Change: a response can be delimited by the close (HTTP/1.0 callers, and stand-ins that need one). From its head on, SO_LINGER 0 makes every close a reset, also one by an exception, by the stop of the event loop or by the death of the process; only the orderly end takes it back.

--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -5,9 +5,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.Header;
@@ -49,6 +49,12 @@
 	 */
 	private static final long LINGER_MS = 1_000;
 
+	/** Value of SO_LINGER with which any close resets the connection. */
+	private static final int RESET_ON_CLOSE = 0;
+
+	/** Value of SO_LINGER with which a close ends the connection normally. */
+	private static final int CLOSE_IN_ORDER = -1;
+
 	private final RequestHandler handler;
 
 	private final ConnectionRegistry registry;
@@ -174,7 +180,7 @@
 		byte[] bytes = new byte[this.body.readableBytes()];
 		this.body.readBytes(bytes);
 		this.body = Unpooled.EMPTY_BUFFER;
-		ActiveResponder active = new ActiveResponder(isKeepAlive(request));
+		ActiveResponder active = new ActiveResponder(isHttp10(request), isKeepAlive(request));
 		this.responder = active;
 		this.handler.onRequest(request, bytes, active);
 	}
@@ -184,14 +190,17 @@
 		refuse(BAD_REQUEST, reason);
 	}
 
+	private static boolean isHttp10(HttpRequest request) {
+		return request.getVersion() != null && request.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+	}
+
 	private static boolean isKeepAlive(HttpRequest request) {
-		boolean http10 = request.getVersion() != null && request.getVersion().lessEquals(HttpVersion.HTTP_1_0);
 		for (Header field : request.getHeaders("Connection")) {
 			if (field.getValue().toLowerCase(Locale.ROOT).contains("close")) {
 				return false;
 			}
 		}
-		return !http10;
+		return !isHttp10(request);
 	}
 
 	// Sends an error response to a request that is not read fully, then closes.
@@ -269,15 +278,20 @@
 	/** Responder of the request that is being handled. */
 	private final class ActiveResponder implements Responder {
 
+		private final boolean http10;
+
 		private final boolean keepAlive;
 
+		private boolean closeDelimited;
+
 		private boolean ended;
 
 		private @Nullable Runnable disconnectAction;
 
 		private @Nullable BackpressureListener backpressureListener;
 
-		ActiveResponder(boolean keepAlive) {
+		ActiveResponder(boolean http10, boolean keepAlive) {
+			this.http10 = http10;
 			this.keepAlive = keepAlive;
 		}
 
@@ -297,11 +311,31 @@
 			if (this.ended) {
 				return;
 			}
+			if (this.http10) {
+				beginUntilClose(response);
+				return;
+			}
 			response.setHeader("Transfer-Encoding", "chunked");
 			addCloseField(response);
 			requireContext().writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.response(response)));
 		}
 
+		@Override
+		public void beginUntilClose(HttpResponse response) {
+			if (this.ended) {
+				return;
+			}
+			this.closeDelimited = true;
+			CallerConnection.this.closing = true;
+			response.setHeader("Connection", "close");
+			setLinger(RESET_ON_CLOSE);
+			requireContext().writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.response(response)));
+		}
+
+		private void setLinger(int seconds) {
+			requireContext().channel().config().setOption(ChannelOption.SO_LINGER, seconds);
+		}
+
 		private boolean addCloseField(HttpResponse response) {
 			boolean close = !this.keepAlive || CallerConnection.this.closing
 					|| CallerConnection.this.registry.isDraining();
@@ -317,13 +351,20 @@
 			if (this.ended || part.length == 0) {
 				return;
 			}
-			requireContext()
-				.writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.chunkSize(part.length), part, HeadWriter.CRLF));
+			ByteBuf bytes = this.closeDelimited ? Unpooled.wrappedBuffer(part)
+					: Unpooled.wrappedBuffer(HeadWriter.chunkSize(part.length), part, HeadWriter.CRLF);
+			requireContext().writeAndFlush(bytes);
 		}
 
 		@Override
 		public void end() {
-			if (!this.ended) {
+			if (this.ended) {
+				return;
+			}
+			if (this.closeDelimited) {
+				finish(Unpooled.EMPTY_BUFFER, true);
+			}
+			else {
 				finish(Unpooled.wrappedBuffer(HeadWriter.LAST_CHUNK), CallerConnection.this.closing);
 			}
 		}
@@ -333,11 +374,18 @@
 			var written = requireContext().writeAndFlush(last);
 			if (close) {
 				CallerConnection.this.closing = true;
-				written.addListener(ChannelFutureListener.CLOSE);
+				written.addListener((done) -> closeAfterEnd(done.isSuccess()));
 			}
 			onResponseEnd();
 		}
 
+		private void closeAfterEnd(boolean written) {
+			if (this.closeDelimited && written) {
+				setLinger(CLOSE_IN_ORDER);
+			}
+			requireContext().close();
+		}
+
 		@Override
 		public void abort() {
 			if (!this.ended) {
--- a/http/src/main/java/org/tallycart/http/event/Responder.java
+++ b/http/src/main/java/org/tallycart/http/event/Responder.java
@@ -20,18 +20,26 @@
 	void send(HttpResponse head, byte[] body);
 
 	/**
-	 * Begin a chunked response, whose length is not known in advance.
+	 * Begin a response whose length is not known in advance. It is chunked, or delimited
+	 * by the close of the connection for a caller that speaks HTTP/1.0.
 	 * @param head the response head, without framing fields
 	 */
 	void begin(HttpResponse head);
 
 	/**
-	 * Send a part of the body as one chunk.
+	 * Begin a response that is delimited by the close of the connection. If it does not
+	 * end in order, the connection is reset, since a close would complete it.
+	 * @param head the response head, without framing fields
+	 */
+	void beginUntilClose(HttpResponse head);
+
+	/**
+	 * Send a part of the body.
 	 * @param part the bytes of the part
 	 */
 	void write(byte[] part);
 
-	/** Complete the chunked response. */
+	/** Complete the response that was begun. */
 	void end();
 
 	/** Close the connection, so that the caller detects an incomplete response. */
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +29,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -158,6 +160,27 @@
 		}
 	}
 
+	@Test
+	void aCallerThatReadsNoChunksGetsAResponseThatEndsWithTheConnection() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /whole HTTP/1.0\r\nHost: h\r\n\r\n");
+			String response = readUntil(socket, "no such end");
+			assertFalse(response.contains("Transfer-Encoding"), response);
+			assertTrue(response.endsWith("\r\n\r\nfirst last"), response);
+		}
+	}
+
+	// Guards against an end of the connection that completes a response that was broken
+	// off.
+	@Test
+	void aBrokenResponseThatEndsWithTheConnectionIsReset() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /broken HTTP/1.0\r\nHost: h\r\n\r\n");
+			readUntil(socket, "first");
+			assertThrows(SocketException.class, () -> readUntil(socket, "no such end"));
+		}
+	}
+
 	/** Starts an upstream that writes the next text of the script for each request. */
 	private int startUpstream(List<String> script, Consumer<Integer> onConnection) throws IOException {
 		ServerSocket server = new ServerSocket(0);
@@ -281,7 +304,10 @@
 		assertTrue(outcomes.isEmpty());
 	}
 
-	/** Responds with the path and body of each request; never responds to /held. */
+	/**
+	 * Responds with the path and body of each request, to /whole and /broken in parts;
+	 * never responds to /held.
+	 */
 	private final class EchoHandler implements RequestHandler {
 
 		@Override
@@ -289,11 +315,25 @@
 			String text = head.getPath() + " " + new String(body, StandardCharsets.UTF_8);
 			ConnectionTests.this.handled.add(text);
 			responder.onCallerDisconnected(() -> ConnectionTests.this.handled.add("gone"));
-			if (!"/held".equals(head.getPath())) {
-				responder.send(new BasicHttpResponse(200), text.getBytes(StandardCharsets.UTF_8));
+			switch (head.getPath()) {
+				case "/held" -> {
+					// Stays unanswered.
+				}
+				case "/whole" -> respondInParts(responder, responder::end);
+				case "/broken" -> respondInParts(responder, responder::abort);
+				default -> responder.send(new BasicHttpResponse(200), text.getBytes(StandardCharsets.UTF_8));
 			}
 		}
 
+		private void respondInParts(Responder responder, Runnable end) {
+			responder.begin(new BasicHttpResponse(200));
+			responder.write("first".getBytes(StandardCharsets.UTF_8));
+			ConnectionTests.this.group.schedule(() -> {
+				responder.write(" last".getBytes(StandardCharsets.UTF_8));
+				end.run();
+			}, 50, TimeUnit.MILLISECONDS);
+		}
+
 		@Override
 		public void onRefused(int status, String reason) {
 			ConnectionTests.this.refused.add(status + " " + reason);
