Only the end of the input completes a reply without a length and chunks; a connection closed otherwise fails its call

What callers saw, or could: a reply that was cut because this process closed the connection (stop of the event loop, a failed write of the request) was passed on as complete; and a call whose connection brought such a reply to another call, then ended, got no outcome at all and waited for its timeout. With a skipped reply the end completed that reply, and nobody told the listener of the call in progress. Fix: the end of the input is an event of its own; it completes the body, then the connection closes, and channelInactive only ever fails the call that is still open. The value CONNECTION_LOST, by which logs could show the difference, can no longer occur and is gone. Tests without sockets: UpstreamConnectionTests, 2 of 10 failed before (CONNECTION_LOST instead of CLOSED; no outcome), 10 pass.

--- a/http/src/main/java/org/tallycart/http/event/MessageReader.java
+++ b/http/src/main/java/org/tallycart/http/event/MessageReader.java
@@ -74,17 +74,12 @@
 		this.received.trim();
 	}
 
-	/**
-	 * Handle the end of the input.
-	 * @return true if it completes a body that is delimited by the close
-	 */
-	boolean onInputEnd() {
+	/** Handle the end of the input, which completes a body that is delimited by it. */
+	void onInputEnd() {
 		this.endOfInput.ended = true;
-		boolean endsBody = this.body instanceof IdentityDecoder;
-		if (endsBody) {
+		if (this.body instanceof IdentityDecoder) {
 			resume();
 		}
-		return endsBody;
 	}
 
 	/**
--- a/http/src/main/java/org/tallycart/http/event/ReplyEnd.java
+++ b/http/src/main/java/org/tallycart/http/event/ReplyEnd.java
@@ -14,12 +14,6 @@
 	 * The reply has neither a length nor chunks, and the upstream closed its side of the
 	 * connection. An upstream that crashes can do the same.
 	 */
-	INPUT_CLOSED,
-
-	/**
-	 * The reply has neither a length nor chunks, and the connection was closed without an
-	 * end of the input.
-	 */
-	CONNECTION_LOST
+	INPUT_CLOSED
 
 }
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -20,8 +20,10 @@
 /**
  * Connection to an upstream that carries one call at a time.
  * <p>
- * Invariant: bytes that arrive while no call is in progress close the connection, so that
- * they are never taken for the next reply. Not thread-safe: confined to its event loop.
+ * Invariants: bytes that arrive while no call is in progress close the connection, so
+ * that they are never taken for the next reply. Only the end of the input completes a
+ * reply with neither a length nor chunks; a connection that closes otherwise fails its
+ * call. Not thread-safe: confined to its event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter implements MessageReader.Sink<HttpResponse> {
 
@@ -43,8 +45,6 @@
 
 	private boolean closeDelimited;
 
-	private boolean inputClosed;
-
 	private boolean keepAlive;
 
 	private long idleLimitMs;
@@ -116,16 +116,14 @@
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
 		if (event instanceof ChannelInputShutdownEvent) {
-			this.inputClosed = true;
+			this.reader.onInputEnd();
 			context.close();
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		if (this.listener != null && !this.reader.onInputEnd()) {
-			fail(CallFailure.Kind.CLOSED, "connection closed");
-		}
+		fail(CallFailure.Kind.CLOSED, "connection closed");
 		this.pool.remove(this);
 	}
 
@@ -195,15 +193,8 @@
 			requireContext().close();
 		}
 		if (currentListener != null) {
-			currentListener.onEnd(replyEnd());
-		}
-	}
-
-	private ReplyEnd replyEnd() {
-		if (!this.closeDelimited) {
-			return ReplyEnd.FRAMED;
+			currentListener.onEnd(this.closeDelimited ? ReplyEnd.INPUT_CLOSED : ReplyEnd.FRAMED);
 		}
-		return this.inputClosed ? ReplyEnd.INPUT_CLOSED : ReplyEnd.CONNECTION_LOST;
 	}
 
 	@Override
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -238,6 +238,7 @@
 				{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nab<close>", "CLOSED true" },
 				{ "<close>", "CLOSED true" }, { "no reply at all\r\n\r\n<close>", "MALFORMED true" },
 				{ "HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 3\r\n\r\nxxx" + OK, "ok" },
+				{ "HTTP/1.1 200 OK\r\nForeign: 1\r\n\r\nxxx<close>", "CLOSED true" },
 				{ "HTTP/1.1 100 Continue\r\n\r\n" + OK, "ok" } };
 	}
 
--- /dev/null
+++ b/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
@@ -0,0 +1,126 @@
+package org.tallycart.http.event;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.tallycart.core.ini.Address;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+/**
+ * Tests for {@link UpstreamConnection} without sockets.
+ */
+public class UpstreamConnectionTests {
+
+	private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+	private final List<String> outcomes = new ArrayList<>();
+
+	private EmbeddedChannel channel = new EmbeddedChannel();
+
+	@BeforeMethod
+	void startCall() {
+		this.outcomes.clear();
+		UpstreamConnection connection = new UpstreamConnection(new ConnectionPool(() -> 0));
+		this.channel = new EmbeddedChannel(connection);
+		HttpRequest head = new BasicHttpRequest("GET", "/x");
+		connection.start(ClientRequest.builder("p", new Address("127.0.0.1", 1), head).build(),
+				new OutcomeListener(this.outcomes));
+	}
+
+	private void receive(String text) {
+		this.channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+	}
+
+	private void endInput() {
+		this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		this.channel.runPendingTasks();
+	}
+
+	@DataProvider
+	static Object[][] ends() {
+		return new Object[][] { { OK + "\r\nall", "INPUT_CLOSED all" }, { OK + "\r\n", "INPUT_CLOSED " },
+				{ OK + "Content-Length: 3\r\n\r\nal", "CLOSED" },
+				{ OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nall\r\n", "CLOSED" }, { OK, "CLOSED" },
+				{ "HTTP/1.1 100 Continue\r\n\r\n", "CLOSED" }, { "", "CLOSED" } };
+	}
+
+	@Test(dataProvider = "ends")
+	void anEndOfInputCompletesOnlyAnUnframedReply(String reply, String outcome) {
+		receive(reply);
+		endInput();
+		assertEquals(this.outcomes, List.of(outcome));
+		assertFalse(this.channel.isOpen());
+	}
+
+	// Guards against a reply that is taken as complete because this process, or a failed
+	// write, closed the connection.
+	@Test
+	void aConnectionThatIsLostCompletesNoReply() {
+		receive(OK + "\r\nhal");
+		this.channel.close();
+		assertEquals(this.outcomes, List.of("CLOSED"));
+	}
+
+	// Guards against a call that never ends, since its reply was replaced by that of
+	// another call.
+	@Test
+	void anEndOfInputAfterAnUnframedReplyToAnotherCallFailsTheCall() {
+		receive(OK + "Foreign: 1\r\n\r\nall");
+		endInput();
+		assertEquals(this.outcomes, List.of("CLOSED"));
+	}
+
+	@Test
+	void bytesThatArriveBetweenCallsCloseTheConnection() {
+		receive(OK + "Content-Length: 3\r\n\r\nall");
+		assertEquals(this.outcomes, List.of("FRAMED all"));
+		receive(OK);
+		assertFalse(this.channel.isOpen());
+	}
+
+	/** Records outcomes as text; skips replies with the field {@code Foreign}. */
+	private static final class OutcomeListener implements ReplyListener {
+
+		private final List<String> outcomes;
+
+		private final StringBuilder body = new StringBuilder();
+
+		private OutcomeListener(List<String> outcomes) {
+			this.outcomes = outcomes;
+		}
+
+		@Override
+		public boolean onHead(HttpResponse head) {
+			return !head.containsHeader("Foreign");
+		}
+
+		@Override
+		public void onBody(byte[] part) {
+			this.body.append(new String(part, StandardCharsets.ISO_8859_1));
+		}
+
+		@Override
+		public void onEnd(ReplyEnd end) {
+			this.outcomes.add(end + " " + this.body);
+		}
+
+		@Override
+		public void onFailure(CallFailure failure) {
+			this.outcomes.add(failure.kind().toString());
+		}
+
+	}
+
+}
