A reply of the store that was broken off before its body is a failure, not an empty list

What callers saw, or could: after a list with neither a length nor chunks that the store broke off before its body, a VM held no upstreams, routes or limits of that kind until the next list, and refused everything. A body cut in the middle is no JSON and was a failure before. Fix: a read without a body, and a write whose empty body only ended with its connection, has an unknown effect; the feed lists again.

--- a/http/src/main/java/org/tallycart/http/event/FullReplyCall.java
+++ b/http/src/main/java/org/tallycart/http/event/FullReplyCall.java
@@ -76,7 +76,7 @@
 	@Override
 	public void onEnd(ReplyEnd end) {
 		if (this.head != null) {
-			finish(Either.right(new FullReply(this.head, this.body.toByteArray())));
+			finish(Either.right(new FullReply(this.head, this.body.toByteArray(), end)));
 		}
 	}
 
