--- a/http/src/main/java/org/tallycart/http/HttpConnection.java
+++ b/http/src/main/java/org/tallycart/http/HttpConnection.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -109,9 +110,10 @@
 			for (Header header : response.getHeaders()) {
 				fields.add(new HttpField(header.getName(), header.getValue()));
 			}
-			InputStream body = (response.getEntity() != null) ? response.getEntity().getContent()
-					: InputStream.nullInputStream();
-			return Either.right(new StreamedReply(this, response.getCode(), fields, body, keepAlive));
+			HttpEntity entity = response.getEntity();
+			InputStream body = (entity != null) ? entity.getContent() : InputStream.nullInputStream();
+			boolean framed = entity == null || entity.isChunked() || entity.getContentLength() >= 0;
+			return Either.right(new StreamedReply(this, response.getCode(), fields, body, framed, keepAlive));
 		}
 		catch (IOException | HttpException ex) {
 			return Either.left(fail(ex));
--- a/http/src/main/java/org/tallycart/http/HttpReply.java
+++ b/http/src/main/java/org/tallycart/http/HttpReply.java
@@ -10,9 +10,11 @@
  * @param status the status code
  * @param fields the header fields
  * @param body the body bytes
+ * @param framed whether the length of the body, or its chunks, prove that it is whole; if
+ * not, it ended with the connection
  * @since 0.1
  */
-public record HttpReply(int status, List<HttpField> fields, byte[] body) {
+public record HttpReply(int status, List<HttpField> fields, byte[] body, boolean framed) {
 
 	/**
 	 * Return the value of the first header field with a name.
--- a/http/src/main/java/org/tallycart/http/StreamedReply.java
+++ b/http/src/main/java/org/tallycart/http/StreamedReply.java
@@ -28,15 +28,19 @@
 
 	private final InputStream body;
 
+	private final boolean framed;
+
 	private final boolean keepAlive;
 
 	private @Nullable BufferedReader reader;
 
-	StreamedReply(HttpConnection connection, int status, List<HttpField> fields, InputStream body, boolean keepAlive) {
+	StreamedReply(HttpConnection connection, int status, List<HttpField> fields, InputStream body, boolean framed,
+			boolean keepAlive) {
 		this.connection = connection;
 		this.status = status;
 		this.fields = fields;
 		this.body = body;
+		this.framed = framed;
 		this.keepAlive = keepAlive;
 	}
 
@@ -54,7 +58,7 @@
 	 * @return the value, or empty if the field is absent
 	 */
 	public Optional<String> field(String name) {
-		return new HttpReply(this.status, this.fields, new byte[0]).field(name);
+		return new HttpReply(this.status, this.fields, new byte[0], this.framed).field(name);
 	}
 
 	/**
@@ -70,7 +74,7 @@
 						"the reply body exceeds " + this.connection.maxBodyBytes() + " bytes"));
 			}
 			onBodyEnd();
-			return Either.right(new HttpReply(this.status, this.fields, bytes));
+			return Either.right(new HttpReply(this.status, this.fields, bytes, this.framed));
 		}
 		catch (IOException ex) {
 			return Either.left(this.connection.fail(ex));
