A plain call whose reply was broken off is told UNKNOWN, not FAILED

What callers saw: a request that may not be repeated ran, its reply with neither a length nor chunks ended in order in the middle, and the caller was told FAILED, which promises that no call has an unknown effect. Broken load reports without a body counted as an idle upstream. Fix: a reply of success that cannot be read leaves the attempt uncertain (AttemptFailure.unreadable); an empty text is no JSON. Stand-ins answer with neither a length nor chunks (unframed_percent) and break such answers off in order (broken_percent).

--- a/entry/src/main/java/org/tallycart/entry/stage/AttemptFailure.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/AttemptFailure.java
@@ -36,6 +36,11 @@
 		return new AttemptFailure(AttemptState.FAILED, Reason.UPSTREAM_ERROR, message, true);
 	}
 
+	// A reply of success that cannot be read, or was broken off: the call may have run.
+	static AttemptFailure unreadable(String message) {
+		return new AttemptFailure(AttemptState.ABANDONED, Reason.UPSTREAM_ERROR, message, true);
+	}
+
 	static AttemptFailure cancelled() {
 		return new AttemptFailure(AttemptState.ABANDONED, Reason.CONNECTION_LOST, "the attempt was given up", false);
 	}
--- a/entry/src/main/java/org/tallycart/entry/stage/GenerationStage.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/GenerationStage.java
@@ -224,7 +224,7 @@
 	private Either<AttemptFailure, String> forward(String payload) {
 		Either<String, JsonNode> chunk = Json.read(payload);
 		if (chunk.isLeft()) {
-			return Either.left(AttemptFailure.upstreamError(chunk.getLeft()));
+			return Either.left(AttemptFailure.unreadable(chunk.getLeft()));
 		}
 		String piece = chunk.get().path("choices").path(0).path("text").asText("");
 		if (piece.isEmpty()) {
--- a/entry/src/main/java/org/tallycart/entry/stage/Json.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/Json.java
@@ -31,7 +31,7 @@
 	static Either<String, JsonNode> read(String text) {
 		try {
 			JsonNode node = MAPPER.readTree(text);
-			return (node != null) ? Either.right(node) : Either.left("empty");
+			return node.isMissingNode() ? Either.left("empty") : Either.right(node);
 		}
 		catch (JsonProcessingException ex) {
 			return Either.left("not JSON: " + ex.getOriginalMessage());
--- a/entry/src/main/java/org/tallycart/entry/stage/UnaryStage.java
+++ b/entry/src/main/java/org/tallycart/entry/stage/UnaryStage.java
@@ -186,7 +186,7 @@
 			.flatMap((stream) -> stream.readFully().mapLeft(call::toAttemptFailure))
 			.flatMap((reply) -> Json.read(reply.text())
 				.flatMap((body) -> this.protocol.parseReply(this.data, body))
-				.mapLeft(AttemptFailure::upstreamError));
+				.mapLeft(AttemptFailure::unreadable));
 		call.releaseConnection();
 		recordOutcome(call, outcome, Clocks.SYSTEM.monotonicMs() - startedMs);
 		this.shared.events()
--- a/integration-tests/src/test/java/org/tallycart/integration/AnswerIntegrityTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/AnswerIntegrityTests.java
@@ -21,7 +21,7 @@
  */
 public class AnswerIntegrityTests extends AbstractFleetTests {
 
-	private static final String NO_FAULT = "{\"truncate_percent\":0,\"foreign_percent\":0,\"fail_percent\":0,\"slow_factor\":1}";
+	private static final String NO_FAULT = "{\"truncate_percent\":0,\"foreign_percent\":0,\"fail_percent\":0,\"slow_factor\":1,\"unframed_percent\":0,\"broken_percent\":0}";
 
 	@Override
 	FleetDefinition definition() {
@@ -37,6 +37,8 @@
 	Object[][] faults() {
 		return new Object[][] { { "generate", "{\"truncate_percent\":30}", 0.6 },
 				{ "encode", "{\"foreign_percent\":20}", 0.6 }, { "generate", "{\"foreign_percent\":20}", 0.6 },
+				{ "generate", "{\"unframed_percent\":60,\"broken_percent\":30}", 0.6 },
+				{ "encode", "{\"unframed_percent\":60,\"broken_percent\":30}", 0.6 },
 				{ "rerank", "{\"fail_percent\":20}", 0.6 }, { "retrieve-1", "{\"slow_factor\":40}", 0.9 } };
 	}
 
--- a/integration-tests/src/test/java/org/tallycart/integration/AtMostOnceTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/AtMostOnceTests.java
@@ -11,6 +11,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -21,6 +22,10 @@
 
 	private static final String OUTAGE = "{\"outage\":true}";
 
+	private static final String BROKEN_REPLIES = "{\"unframed_percent\":100,\"broken_percent\":30}";
+
+	private static final String WHOLE_REPLIES = "{\"unframed_percent\":0,\"broken_percent\":0}";
+
 	private static final String NO_OUTAGE = "{\"outage\":false}";
 
 	@Override
@@ -73,6 +78,19 @@
 		assertTrue(completeRatio >= minCompleteRatio, "too few requests completed: " + report.toText());
 	}
 
+	// Guards against a request that ran and is told FAILED because its reply was broken
+	// off.
+	@Test
+	void aRequestWhoseReplyWasBrokenOffIsToldUnknown() {
+		fleet().setUpstreamFault((id) -> id.startsWith("dispatch"), BROKEN_REPLIES);
+		LoadTestReport report = BackgroundLoad.start(fleet(), 20, 3_000, BackgroundLoad.confirmations()).await();
+		fleet().setUpstreamFault((id) -> id.startsWith("dispatch"), WHOLE_REPLIES);
+		assertEquals(report.countByOutcome("FAILED"), 0, report.toText());
+		assertTrue(report.countByOutcome("UNKNOWN") > 0, report.toText());
+		assertEquals(report.violationCount(), 0, report.toText());
+		fleet().runsByMarker().forEach((marker, count) -> assertTrue(count <= 1, marker + " ran " + count + " times"));
+	}
+
 	private void killEntry() throws IOException {
 		fleet().vm(0).entry().kill();
 		Await.sleep(300);
--- a/standin/src/main/java/org/tallycart/standin/UpstreamFaults.java
+++ b/standin/src/main/java/org/tallycart/standin/UpstreamFaults.java
@@ -26,6 +26,10 @@
 
 	private volatile int foreignPercent;
 
+	private volatile int unframedPercent;
+
+	private volatile int brokenPercent;
+
 	private volatile boolean hang;
 
 	private volatile boolean runThenHang;
@@ -43,6 +47,8 @@
 		this.failPercent = fault.path("fail_percent").asInt(this.failPercent);
 		this.truncatePercent = fault.path("truncate_percent").asInt(this.truncatePercent);
 		this.foreignPercent = fault.path("foreign_percent").asInt(this.foreignPercent);
+		this.unframedPercent = fault.path("unframed_percent").asInt(this.unframedPercent);
+		this.brokenPercent = fault.path("broken_percent").asInt(this.brokenPercent);
 		this.hang = fault.path("hang").asBoolean(this.hang);
 		this.runThenHang = fault.path("run_then_hang").asBoolean(this.runThenHang);
 		this.draining = fault.path("leaving").asBoolean(this.draining);
@@ -65,6 +71,16 @@
 		return occurs(this.foreignPercent);
 	}
 
+	// A reply with neither a length nor chunks ends with its connection.
+	boolean sendsUnframed() {
+		return occurs(this.unframedPercent);
+	}
+
+	// A broken reply ends in order, but before it is complete.
+	boolean breaksOffUnframed() {
+		return occurs(this.brokenPercent);
+	}
+
 	boolean hangs() {
 		return this.hang;
 	}
--- a/standin/src/main/java/org/tallycart/standin/UpstreamStandin.java
+++ b/standin/src/main/java/org/tallycart/standin/UpstreamStandin.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.protocol.HttpContext;
 
@@ -65,7 +66,13 @@
 				JsonHttp.respond(response, OK, "done");
 			}
 			case "/admin/runs" -> JsonHttp.respond(response, OK, runs());
-			default -> admit(request, response);
+			default -> {
+				admit(request, response);
+				if (this.faults.sendsUnframed()) {
+					context.setProtocolVersion(HttpVersion.HTTP_1_0);
+					response.setEntity(new UnframedEntity(response.getEntity(), this.faults.breaksOffUnframed()));
+				}
+			}
 		}
 	}
 
