The soak plays replies with neither a length nor chunks; the fault proxy relays resets

Upstreams in the soak answer so, whole, or ended in order or reset before, between and within events, and the store sends none, half or all of its replies so; generators of their own keep the other faults of a seed. Before, FaultProxy turned every reset and every loss into an orderly end, which such a reply can't survive, and hid the difference from all tests that use it.

--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.tallycart.platform.standin.UpstreamStandin;
 import org.tallycart.standin.FaultProxy;
@@ -37,6 +38,20 @@
 	/** One of this many faults comes with a restore of the store from a backup. */
 	private static final int ROLLBACK_INTERVAL = 6;
 
+	/** One of this many faults comes with an upstream whose replies are unframed. */
+	private static final int UNFRAMED_INTERVAL = 3;
+
+	/** One of this many faults comes with a store whose replies are unframed. */
+	private static final int UNFRAMED_STORE_INTERVAL = 8;
+
+	private static final List<UpstreamStandin.Fault> UNFRAMED = Stream.of(UpstreamStandin.Fault.values())
+		.filter(UpstreamStandin.Fault::isUnframed)
+		.toList();
+
+	private static final List<UpstreamStandin.Fault> FRAMED = Stream.of(UpstreamStandin.Fault.values())
+		.filter((fault) -> !fault.isUnframed())
+		.toList();
+
 	private static final int MIN_REWRITE_MS = 100;
 
 	private static final int MAX_REWRITE_MS = 1_900;
@@ -55,6 +70,8 @@
 
 	private final Random unavailabilityRandom;
 
+	private final Random unframedRandom;
+
 	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(4);
 
 	private final List<Future<?>> undoTasks = new ArrayList<>();
@@ -67,6 +84,7 @@
 		this.random = new Random(seed);
 		this.limitRandom = new Random(~seed);
 		this.unavailabilityRandom = new Random(Long.reverse(seed));
+		this.unframedRandom = new Random(~Long.reverse(seed));
 	}
 
 	/**
@@ -86,6 +104,12 @@
 			if (this.limitRandom.nextInt(ROLLBACK_INTERVAL) == 0) {
 				rollBackStore();
 			}
+			if (this.unframedRandom.nextInt(UNFRAMED_INTERVAL) == 0) {
+				replyUnframed();
+			}
+			if (this.unframedRandom.nextInt(UNFRAMED_STORE_INTERVAL) == 0) {
+				replyUnframedFromStore();
+			}
 			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
 		}
 		for (Future<?> each : this.undoTasks) {
@@ -145,6 +169,27 @@
 		undoAfter(ms, () -> this.fleet.upstream(upstream).endBackoff());
 	}
 
+	private void replyUnframed() {
+		List<String> ids = this.fleet.upstreamIds();
+		String upstream = ids.get(this.unframedRandom.nextInt(ids.size()));
+		setFault(upstream, UNFRAMED.get(this.unframedRandom.nextInt(UNFRAMED.size())), this.unframedRandom);
+	}
+
+	private void setFault(String upstream, UpstreamStandin.Fault fault, Random durations) {
+		this.violations.note(upstream + " " + fault);
+		this.fleet.upstream(upstream).setFault(fault);
+		undoAfter(MIN_DURATION_MS + durations.nextInt(MAX_DURATION_MS),
+				() -> this.fleet.upstream(upstream).setFault(UpstreamStandin.Fault.NONE));
+	}
+
+	private void replyUnframedFromStore() {
+		double share = this.unframedRandom.nextInt(3) / 2.0;
+		this.violations.note("store sends " + share + " of its replies, unframed");
+		this.fleet.store().replyUnframed(share);
+		undoAfter(MIN_DURATION_MS + this.unframedRandom.nextInt(MAX_DURATION_MS),
+				() -> this.fleet.store().replyFramed());
+	}
+
 	// Operators and upstreams rewrite their objects some time after the restore.
 	private void rollBackStore() {
 		if (this.rollbackInProgress) {
@@ -225,10 +270,7 @@
 	}
 
 	private void injectUpstreamFault(String upstream) {
-		UpstreamStandin.Fault fault = pick(List.of(UpstreamStandin.Fault.values()));
-		this.violations.note(upstream + " " + fault);
-		this.fleet.upstream(upstream).setFault(fault);
-		undoLater(() -> this.fleet.upstream(upstream).setFault(UpstreamStandin.Fault.NONE));
+		setFault(upstream, pick(FRAMED), this.random);
 	}
 
 	private void storeOutage() {
--- a/standin/src/main/java/org/tallycart/standin/FaultProxy.java
+++ b/standin/src/main/java/org/tallycart/standin/FaultProxy.java
@@ -15,7 +15,8 @@
 
 /**
  * TCP proxy that injects network faults: delay, stall and loss of data, per direction,
- * and closed and refused connections. It relays the end of a stream as a half-close.
+ * and reset and refused connections. It relays the end of a stream as a half-close, and a
+ * reset, or an end that follows dropped data, as a reset.
  * <p>
  * The sender sees no error when data is dropped.
  * <p>
@@ -93,20 +94,28 @@
 		try {
 			InputStream in = from.getInputStream();
 			OutputStream out = to.getOutputStream();
+			boolean dropped = false;
 			int count = in.read(buffer);
 			while (count >= 0) {
 				direction.awaitDelivery();
+				dropped |= direction.dropping;
 				if (!direction.dropping) {
 					out.write(buffer, 0, count);
 					out.flush();
 				}
 				count = in.read(buffer);
 			}
-			to.shutdownOutput();
+			if (dropped) {
+				reset(from);
+				reset(to);
+			}
+			else {
+				to.shutdownOutput();
+			}
 		}
 		catch (IOException ex) {
-			closeQuietly(from);
-			closeQuietly(to);
+			reset(from);
+			reset(to);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -130,10 +139,10 @@
 	}
 
 	/**
-	 * Close all current connections. New connections are still accepted.
+	 * Reset all current connections. New connections are still accepted.
 	 */
 	public void closeConnections() {
-		this.sockets.forEach(FaultProxy::closeQuietly);
+		this.sockets.forEach(FaultProxy::reset);
 		this.sockets.clear();
 	}
 
@@ -153,8 +162,9 @@
 		return new Address("127.0.0.1", this.server.getLocalPort());
 	}
 
-	private static void closeQuietly(Socket socket) {
+	private static void reset(Socket socket) {
 		try {
+			socket.setSoLinger(true, 0);
 			socket.close();
 		}
 		catch (IOException ex) {
