aBrokenStreamIsResumedWithinOneResponse breaks only the session's engine

The test had a race (seen once, 2026-12-03 11:18, second send 12 ms after the first): a thread that looks each 10 ms had to take the fault off the second engine before the first one broke. Now a request before tells the engine of the session, and only that one breaks; the assertions are the same.

--- a/node/src/test/java/org/tallycart/node/NodeEndToEndTests.java
+++ b/node/src/test/java/org/tallycart/node/NodeEndToEndTests.java
@@ -93,16 +93,7 @@
 
 	@Test
 	void aBrokenStreamIsResumedWithinOneResponse() {
-		setFault("engine", UpstreamStandin.Fault.BREAK);
-		Thread faultRemover = new Thread(() -> {
-			await(() -> runs("r1") > 0);
-			this.upstreams.values().forEach((upstream) -> {
-				if (upstream.runCount("r1") == 0) {
-					upstream.setFault(UpstreamStandin.Fault.NONE);
-				}
-			});
-		});
-		faultRemover.start();
+		sessionEngine(this.nodes.get(0)).setFault(UpstreamStandin.Fault.BREAK);
 		String response = request(this.nodes.get(0), "/stream/x", "r1", GENERATION);
 		String events = response.substring(response.indexOf("\r\n\r\n"))
 			.replaceAll("(?m)^[0-9a-f]+\r\n", "")
