--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
+import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -63,6 +65,10 @@
 
 	final List<Node> nodes = new ArrayList<>();
 
+	private final List<Thread> callers = new ArrayList<>();
+
+	private volatile boolean calling = true;
+
 	/**
 	 * Return the number of VMs that a test starts with.
 	 * @return the count
@@ -75,6 +81,8 @@
 		this.store = StoreStandin.start(this.group);
 		this.upstreams.clear();
 		this.nodes.clear();
+		this.callers.clear();
+		this.calling = true;
 		for (String service : List.of("plain", "engine", "pool")) {
 			for (int i = 0; i < 2; i++) {
 				addUpstream(service, "i-" + service + i);
@@ -89,6 +97,10 @@
 
 	@AfterMethod
 	void end() throws InterruptedException {
+		this.calling = false;
+		for (Thread caller : this.callers) {
+			caller.join(WAIT_MS);
+		}
 		this.nodes.forEach(Node::close);
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(WAIT_MS);
 	}
@@ -103,6 +115,22 @@
 		this.store.put("servers", id, upstream.entry(service, domain, "ready"));
 	}
 
+	// Starts callers that each make a call for every round, with a pause between two,
+	// until
+	// the test ends. Their rounds begin with their numbers.
+	void startCallers(int count, long pauseMs, IntConsumer call) {
+		IntStream.range(0, count).forEach((first) -> {
+			Thread caller = new Thread(() -> {
+				for (int round = first; this.calling; round++) {
+					call.accept(round);
+					pause(pauseMs);
+				}
+			});
+			this.callers.add(caller);
+			caller.start();
+		});
+	}
+
 	NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
 		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, this.store.address(),
--- a/node/src/test/java/org/tallycart/node/NamedLimitTests.java
+++ b/node/src/test/java/org/tallycart/node/NamedLimitTests.java
@@ -1,13 +1,11 @@
 package org.tallycart.node;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 import org.tallycart.platform.standin.UpstreamStandin;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -44,16 +42,12 @@
 	/** Pause of one caller between two requests, in milliseconds. */
 	private static final long PAUSE_MS = 150;
 
-	private final List<Thread> callers = new ArrayList<>();
-
 	private final AtomicInteger served = new AtomicInteger();
 
 	private final AtomicInteger declined = new AtomicInteger();
 
 	private final AtomicInteger lastId = new AtomicInteger();
 
-	private volatile boolean running = true;
-
 	@Override
 	int vms() {
 		return 3;
@@ -66,31 +60,12 @@
 
 	@BeforeMethod(dependsOnMethods = "begin")
 	void resetCallers() {
-		this.running = true;
 		this.served.set(0);
 		this.declined.set(0);
-		this.callers.clear();
-	}
-
-	@AfterMethod
-	void stopCallers() throws InterruptedException {
-		this.running = false;
-		for (Thread caller : this.callers) {
-			caller.join(WAIT_MS);
-		}
 	}
 
 	private void startCallers(int count, String path, String headers) {
-		IntStream.range(0, count).forEach((i) -> {
-			Thread caller = new Thread(() -> {
-				for (int round = i; this.running; round++) {
-					call(round, path, headers);
-					pause(PAUSE_MS);
-				}
-			});
-			this.callers.add(caller);
-			caller.start();
-		});
+		startCallers(count, PAUSE_MS, (round) -> call(round, path, headers));
 	}
 
 	private void call(int round, String path, String headers) {
--- a/node/src/test/java/org/tallycart/node/UpstreamUnavailabilityTests.java
+++ b/node/src/test/java/org/tallycart/node/UpstreamUnavailabilityTests.java
@@ -1,15 +1,12 @@
 package org.tallycart.node;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.IntStream;
 
 import org.tallycart.platform.standin.UpstreamStandin;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -50,14 +47,10 @@
 
 	private static final Pattern RETRY_AFTER = Pattern.compile("Retry-After: ([0-9.]+)");
 
-	private final List<Thread> callers = new ArrayList<>();
-
 	private final AtomicInteger unserved = new AtomicInteger();
 
 	private final AtomicInteger lastId = new AtomicInteger();
 
-	private volatile boolean running = true;
-
 	@Override
 	int vms() {
 		return 2;
@@ -71,33 +64,16 @@
 
 	@BeforeMethod(dependsOnMethods = "begin")
 	void resetCallers() {
-		this.running = true;
 		this.unserved.set(0);
-		this.callers.clear();
-	}
-
-	@AfterMethod
-	void stopCallers() throws InterruptedException {
-		this.running = false;
-		for (Thread caller : this.callers) {
-			caller.join(WAIT_MS);
-		}
 	}
 
 	// Callers send to one VM, or to all in turn.
 	private void startCallers(boolean all, String path, String headers) {
-		IntStream.range(0, CALLERS).forEach((i) -> {
-			Thread caller = new Thread(() -> {
-				for (int round = i; this.running; round++) {
-					Node node = this.nodes.get(all ? round % vms() : 0);
-					if (!call(node, path, headers).startsWith("HTTP/1.1 200")) {
-						this.unserved.incrementAndGet();
-					}
-					pause(PAUSE_MS);
-				}
-			});
-			this.callers.add(caller);
-			caller.start();
+		startCallers(CALLERS, PAUSE_MS, (round) -> {
+			Node node = this.nodes.get(all ? round % vms() : 0);
+			if (!call(node, path, headers).startsWith("HTTP/1.1 200")) {
+				this.unserved.incrementAndGet();
+			}
 		});
 	}
 
