aReturnCostsFewCalls begins once one VM reads the store for all, off KNOWN-RED.txt

What was seen: 42 and 45 calls of the store in the second after its return, 33 expected, beside heavy load only. The log shows that they had not settled: right after a start each VM reads for itself, and follows another one only after it was found fresh for 1.5 s; beside load the test's second of counting was over before that. Ruled out: repeated lists of one feed, retries, a second return of the era. So the test's moment was wrong, not the product: it now waits until exactly one VM reads, which is the state that the promise is about. The bound is the same.

--- a/node/src/test/java/org/tallycart/node/StoreCopyTests.java
+++ b/node/src/test/java/org/tallycart/node/StoreCopyTests.java
@@ -180,8 +180,10 @@
 		awaitMetricAtAll("store_era 2.0");
 	}
 
-	@Test(groups = "known-red")
+	@Test
 	void aReturnCostsFewCalls() {
+		// Right after the start each VM still reads the store for itself.
+		await(() -> this.nodes.stream().filter((node) -> metrics(node).contains("\nstore_following 1.0")).count() == 1);
 		int before = this.store.callCount();
 		pause(1_000);
 		int normal = this.store.callCount() - before;
