--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -115,9 +115,8 @@
 		this.store.put("servers", id, upstream.entry(service, domain, "ready"));
 	}
 
-	// Starts callers that each make a call for every round, with a pause between two,
-	// until
-	// the test ends. Their rounds begin with their numbers.
+	// Starts callers that make a call for each round until the test ends. The rounds of a
+	// caller begin with its number.
 	void startCallers(int count, long pauseMs, IntConsumer call) {
 		IntStream.range(0, count).forEach((first) -> {
 			Thread caller = new Thread(() -> {
