--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -91,7 +91,11 @@
 		Path folder = Path.of("target", "soak", "seed-" + seed);
 		try (SoakFleet fleet = new SoakFleet(folder, vms);
 				SoakFaults faults = new SoakFaults(fleet, violations, seed)) {
-			fleet.nodes().forEach((node) -> awaitCondition(RECOVERY_MS, () -> isServing(fleet, node, violations)));
+			for (SoakNode node : fleet.nodes()) {
+				if (!awaitCondition(RECOVERY_MS, () -> isServing(fleet, node, violations))) {
+					violations.add(node.incarnation() + " does not serve after its start");
+				}
+			}
 			try (SoakCallers callers = new SoakCallers(fleet, violations, seed)) {
 				faults.run(FAULTS_MS);
 				violations.note("all faults are cleared");
