Logs and counts tell that no upstream can be connected to from a VM

The logs could not tell a VM that had lost its links from upstreams that had failed: TC6020 speaks of one upstream. No decision reads it yet.

--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -284,6 +284,14 @@
 		return Optional.ofNullable(this.states.get(id)).map(UpstreamState::entry);
 	}
 
+	/**
+	 * Return the entries of all listed upstreams.
+	 * @return the entries, in no order
+	 */
+	public List<UpstreamEntry> entries() {
+		return this.states.values().stream().map(UpstreamState::entry).toList();
+	}
+
 	/**
 	 * Return whether the list and the evacuated failure domains have been loaded.
 	 * @return true if both were loaded at least once
--- a/http/src/main/java/org/tallycart/http/event/HttpClient.java
+++ b/http/src/main/java/org/tallycart/http/event/HttpClient.java
@@ -31,11 +31,14 @@
 
 	private final LongSupplier nowMs;
 
+	private final ConnectionObserver observer;
+
 	private final Map<String, ConnectionPool> pools = new HashMap<>();
 
-	private HttpClient(EventLoopGroup group, LongSupplier nowMs) {
+	private HttpClient(EventLoopGroup group, LongSupplier nowMs, ConnectionObserver observer) {
 		this.group = group;
 		this.nowMs = nowMs;
+		this.observer = observer;
 	}
 
 	/**
@@ -45,7 +48,18 @@
 	 * @return the client
 	 */
 	public static HttpClient create(EventLoopGroup group, LongSupplier nowMs) {
-		return new HttpClient(group, nowMs);
+		return create(group, nowMs, ConnectionObserver.NONE);
+	}
+
+	/**
+	 * Create a client whose connections are observed.
+	 * @param group an event loop group of one loop
+	 * @param nowMs the monotonic clock, in milliseconds
+	 * @param observer the observer
+	 * @return the client
+	 */
+	public static HttpClient create(EventLoopGroup group, LongSupplier nowMs, ConnectionObserver observer) {
+		return new HttpClient(group, nowMs, observer);
 	}
 
 	/**
@@ -100,10 +114,20 @@
 			.connect(address.host(), address.port());
 		future.addListener((done) -> {
 			future.channel().close();
+			observe(address, done.cause());
 			consumer.accept(probeResult(done.cause()));
 		});
 	}
 
+	private void observe(Address address, @Nullable Throwable failure) {
+		if (failure == null) {
+			this.observer.onConnected(address);
+		}
+		else {
+			this.observer.onConnectFailed(address, probeResult(failure) == ProbeResult.REFUSES);
+		}
+	}
+
 	private static ProbeResult probeResult(@Nullable Throwable failure) {
 		if (failure == null) {
 			return ProbeResult.ACCEPTS;
@@ -161,7 +185,7 @@
 		}
 
 		private void connect() {
-			UpstreamConnection connection = new UpstreamConnection(this.pool);
+			UpstreamConnection connection = new UpstreamConnection(this.pool, HttpClient.this.observer);
 			ChannelFuture future = new Bootstrap().group(HttpClient.this.group)
 				.channel(NioSocketChannel.class)
 				.option(ChannelOption.TCP_NODELAY, true)
@@ -174,6 +198,9 @@
 		}
 
 		private void onConnected(UpstreamConnection connection, boolean success, @Nullable Throwable cause) {
+			if (success || !this.cancelled) {
+				observe(this.request.address(), cause);
+			}
 			if (this.cancelled) {
 				if (success) {
 					connection.discard();
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -33,6 +33,8 @@
 
 	private final ConnectionPool pool;
 
+	private final ConnectionObserver observer;
+
 	private final MessageReader<HttpResponse> reader;
 
 	private @Nullable ChannelHandlerContext context;
@@ -51,8 +53,9 @@
 
 	private long idleSinceMs;
 
-	UpstreamConnection(ConnectionPool pool) {
+	UpstreamConnection(ConnectionPool pool, ConnectionObserver observer) {
 		this.pool = pool;
+		this.observer = observer;
 		Http1Config config = Http1Config.custom().setMaxLineLength(MAX_HEAD_LINE_BYTES).build();
 		this.reader = new MessageReader<>(new DefaultHttpResponseParser<>(DefaultHttpResponseFactory.INSTANCE, config),
 				this);
@@ -65,6 +68,7 @@
 
 	void start(ClientRequest request, ReplyListener replyListener) {
 		this.listener = replyListener;
+		this.observer.onCallStarted();
 		this.skippingMessage = false;
 		this.keepAlive = true;
 		this.idleLimitMs = ConnectionPool.DEFAULT_IDLE_LIMIT_MS;
@@ -74,10 +78,19 @@
 
 	/** Closes the connection without notifying the listener. */
 	void discard() {
-		this.listener = null;
+		endCall();
 		requireContext().close();
 	}
 
+	private @Nullable ReplyListener endCall() {
+		ReplyListener ended = this.listener;
+		this.listener = null;
+		if (ended != null) {
+			this.observer.onCallEnded();
+		}
+		return ended;
+	}
+
 	// Compares by identity: the connection may already carry the call of another
 	// listener.
 	boolean isServing(ReplyListener replyListener) {
@@ -100,6 +113,7 @@
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		ByteBuf bytes = (ByteBuf) message;
+		this.observer.onReceived();
 		try {
 			if (this.listener == null) {
 				context.close();
@@ -184,8 +198,7 @@
 			this.skippingMessage = false;
 			return;
 		}
-		ReplyListener currentListener = this.listener;
-		this.listener = null;
+		ReplyListener currentListener = endCall();
 		if (this.keepAlive && this.reader.unparsedBytes() == 0) {
 			this.pool.release(this);
 		}
@@ -204,8 +217,7 @@
 	}
 
 	private void fail(CallFailure.Kind kind, String detail) {
-		ReplyListener currentListener = this.listener;
-		this.listener = null;
+		ReplyListener currentListener = endCall();
 		if (currentListener != null) {
 			currentListener.onFailure(new CallFailure(kind, true, detail));
 		}
--- a/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
@@ -32,7 +32,7 @@
 	@BeforeMethod
 	void startCall() {
 		this.outcomes.clear();
-		UpstreamConnection connection = new UpstreamConnection(new ConnectionPool(() -> 0));
+		UpstreamConnection connection = new UpstreamConnection(new ConnectionPool(() -> 0), ConnectionObserver.NONE);
 		this.channel = new EmbeddedChannel(connection);
 		HttpRequest head = new BasicHttpRequest("GET", "/x");
 		connection.start(ClientRequest.builder("p", new Address("127.0.0.1", 1), head).build(),
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -23,6 +23,7 @@
 import org.tallycart.http.event.HttpServer;
 import org.tallycart.node.crash.CrashReportCoordinator;
 import org.tallycart.node.crash.UpstreamCrashDetector;
+import org.tallycart.node.link.UpstreamLinks;
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.node.log.NodeLogging;
 import org.tallycart.node.metrics.MetricsHandler;
@@ -94,6 +95,8 @@
 
 	private final HttpClient http = HttpClient.create(this.group, this.loop::nowMs);
 
+	private final UpstreamLinks links;
+
 	private final Quarantine quarantine = new Quarantine();
 
 	private final NoticeDistributor statementDistributor;
@@ -131,6 +134,7 @@
 		WireIdentity identity = new WireIdentity(settings.vm(), Clocks.SYSTEM.wallMs(), new HybridClock(),
 				Clocks.SYSTEM::wallMs);
 		this.transport = WireTransport.create(identity, this.group);
+		this.links = new UpstreamLinks(this.group, this.loop, this.log, this.metrics, this.directory);
 		ObjectClient objects = new ObjectClient(this.http, this.loop.executor(), settings.store(),
 				this.metrics::onStoreCall);
 		ReplicatedState state = new ReplicatedState(this.config, this.directory, this.quarantine, this.metrics);
@@ -139,24 +143,24 @@
 		this.crashDistributor = new NoticeDistributor(settings.vm(), this.store);
 		this.crashReports = new CrashReportCoordinator(this.quarantine, this.loop, this.log,
 				new QuarantineRecords(objects), this.crashDistributor);
-		UpstreamCrashDetector crashes = new UpstreamCrashDetector(this.http, this.loop, this.log, this.metrics,
+		UpstreamCrashDetector crashes = new UpstreamCrashDetector(this.links.http(), this.loop, this.log, this.metrics,
 				this.crashReports);
 		this.statementDistributor = new NoticeDistributor(settings.vm(), this.store);
 		this.statements = new UpstreamStatements(this.loop, () -> identity.clock().tick(Clocks.SYSTEM.wallMs()),
 				this.log, this.metrics, this.directory, this.statementDistributor, this::updateWatchedRoles);
 		this.permits = new PermitService(settings.vm(), this.statements, this.loop, this.metrics);
-		ResultReleaser releaser = new ResultReleaser(this.http, this.loop, this.directory);
-		PoolContext poolContext = new PoolContext(this.http, this.loop, this.log, releaser, crashes, this.statements,
-				this.permits, this.metrics);
+		ResultReleaser releaser = new ResultReleaser(this.links.http(), this.loop, this.directory);
+		PoolContext poolContext = new PoolContext(this.links.http(), this.loop, this.log, releaser, crashes,
+				this.statements, this.permits, this.metrics);
 		this.pieces = new PieceService(settings.vm(), poolContext, this.config, this.directory);
 		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log,
 				PeerMessageHandler.composite(List.of(this.pieces, this.crashReports, this.statements, this.permits)),
 				this.store);
 		this.budgets = new RetryBudgets(settings.platformLimits(), this.loop, this::budgetSharingVms);
 		this.coldStarts = new ColdStartLimiter(settings.vm(), this.mesh::vms, this::coldRequestsPerSecond);
-		ServingContext servingContext = new ServingContext(settings.failureDomain(), this.loop, this.log, this.http,
-				this.directory, this.coldStarts, this.statements, this.permits, this.pieces, this.budgets, crashes,
-				this.quarantine, this.metrics);
+		ServingContext servingContext = new ServingContext(settings.failureDomain(), this.loop, this.log,
+				this.links.http(), this.directory, this.coldStarts, this.statements, this.permits, this.pieces,
+				this.budgets, crashes, this.quarantine, this.metrics);
 		this.callerHandler = new CallerHandler(servingContext, this.config);
 	}
 
@@ -257,6 +261,7 @@
 		this.metrics.registerGauge("upstreams.leaving", this.statements::drainingCount);
 		this.metrics.registerGauge("upstreams.resting", this.statements::backoffCount);
 		this.metrics.registerGauge("quarantine.requests", () -> this.quarantine.all().size());
+		this.metrics.registerGauge("upstream_links.lost", () -> this.links.isIsolated() ? 1 : 0);
 		this.metrics.registerGauge("store.following", () -> this.store.readsStore() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
@@ -271,6 +276,7 @@
 		this.crashDistributor.start(this.mesh);
 		this.statementDistributor.start(this.mesh);
 		this.permits.start(this.mesh);
+		this.links.start();
 		this.loop.scheduleWithFixedDelay(HOUSEKEEPING_INTERVAL_MS, this::housekeeping);
 	}
 
@@ -281,6 +287,7 @@
 		this.statements.refresh();
 		this.permits.expire();
 		this.http.closeStale();
+		this.links.http().closeStale();
 		this.readiness.checkReadiness();
 	}
 
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -75,6 +75,14 @@
 		this.registry.counter("replies.ended." + end.name().toLowerCase(Locale.ROOT)).inc();
 	}
 
+	/**
+	 * Count a connection to an upstream.
+	 * @param outcome how the attempt to open it ended, such as {@code opened}
+	 */
+	public void onUpstreamConnection(String outcome) {
+		this.registry.counter("upstream_connections." + outcome).inc();
+	}
+
 	/** Count a retry that the retry budget denied. */
 	public void onRetryDenied() {
 		this.registry.counter("sends.repeats_denied").inc();
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -184,6 +184,11 @@
 	/** An upstream requested a backoff. */
 	UPSTREAM_RESTS(6038, Level.INFO,
 			"An upstream has refused a request and wants none from this VM for a time; the detail holds for how long."),
+	/** No upstream can be connected to. */
+	UPSTREAM_LINKS_LOST(6039, Level.WARN,
+			"No upstream can be connected to from this VM; the detail holds how many were tried, how the last one failed, and for how long no upstream has sent a byte."),
+	/** Upstreams can be connected to again. */
+	UPSTREAM_LINKS_BACK(6040, Level.INFO, "An upstream can be connected to again from this VM."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
