Failing test: callers of VMs that lost their links to all upstreams are not served (known-red)

FaultProxy listens on several hosts and cuts one of them off (silent, reset, new connections refused or unanswered while old ones live on); VMs of the soak reach upstreams by a host of their own (--upstream-proxy-host); the soak's faults cut one VM to all VMs off.

--- a/http/src/main/java/org/tallycart/http/event/HttpClient.java
+++ b/http/src/main/java/org/tallycart/http/event/HttpClient.java
@@ -3,6 +3,7 @@
 import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -35,10 +36,14 @@
 
 	private final Map<String, ConnectionPool> pools = new HashMap<>();
 
-	private HttpClient(EventLoopGroup group, LongSupplier nowMs, ConnectionObserver observer) {
+	private final Optional<String> proxyHost;
+
+	private HttpClient(EventLoopGroup group, LongSupplier nowMs, ConnectionObserver observer,
+			Optional<String> proxyHost) {
 		this.group = group;
 		this.nowMs = nowMs;
 		this.observer = observer;
+		this.proxyHost = proxyHost;
 	}
 
 	/**
@@ -48,7 +53,7 @@
 	 * @return the client
 	 */
 	public static HttpClient create(EventLoopGroup group, LongSupplier nowMs) {
-		return create(group, nowMs, ConnectionObserver.NONE);
+		return create(group, nowMs, ConnectionObserver.NONE, Optional.empty());
 	}
 
 	/**
@@ -56,10 +61,13 @@
 	 * @param group an event loop group of one loop
 	 * @param nowMs the monotonic clock, in milliseconds
 	 * @param observer the observer
+	 * @param proxyHost the host to connect to in place of that of each address; empty for
+	 * the host of the address
 	 * @return the client
 	 */
-	public static HttpClient create(EventLoopGroup group, LongSupplier nowMs, ConnectionObserver observer) {
-		return new HttpClient(group, nowMs, observer);
+	public static HttpClient create(EventLoopGroup group, LongSupplier nowMs, ConnectionObserver observer,
+			Optional<String> proxyHost) {
+		return new HttpClient(group, nowMs, observer, proxyHost);
 	}
 
 	/**
@@ -111,7 +119,7 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
 			.handler(new ChannelInboundHandlerAdapter())
-			.connect(address.host(), address.port());
+			.connect(host(address), address.port());
 		future.addListener((done) -> {
 			future.channel().close();
 			observe(address, done.cause());
@@ -119,6 +127,10 @@
 		});
 	}
 
+	private String host(Address address) {
+		return this.proxyHost.orElse(address.host());
+	}
+
 	private void observe(Address address, @Nullable Throwable failure) {
 		if (failure == null) {
 			this.observer.onConnected(address);
@@ -192,7 +204,7 @@
 				.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 				.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.request.connectTimeoutMs())
 				.handler(connection)
-				.connect(this.request.address().host(), this.request.address().port());
+				.connect(host(this.request.address()), this.request.address().port());
 			this.connecting = future;
 			future.addListener((done) -> onConnected(connection, done.isSuccess(), done.cause()));
 		}
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -44,6 +47,9 @@
 	/** One of this many faults comes with a store whose replies are unframed. */
 	private static final int UNFRAMED_STORE_INTERVAL = 8;
 
+	/** One of this many faults comes with VMs that lose their links to all upstreams. */
+	private static final int LOST_LINKS_INTERVAL = 6;
+
 	private static final List<UpstreamStandin.Fault> UNFRAMED = Stream.of(UpstreamStandin.Fault.values())
 		.filter(UpstreamStandin.Fault::isUnframed)
 		.toList();
@@ -72,6 +78,10 @@
 
 	private final Random unframedRandom;
 
+	private final Random linkRandom;
+
+	private final Set<SoakNode> withoutLinks = ConcurrentHashMap.newKeySet();
+
 	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(4);
 
 	private final List<Future<?>> undoTasks = new ArrayList<>();
@@ -85,6 +95,7 @@
 		this.limitRandom = new Random(~seed);
 		this.unavailabilityRandom = new Random(Long.reverse(seed));
 		this.unframedRandom = new Random(~Long.reverse(seed));
+		this.linkRandom = new Random(Long.reverseBytes(seed));
 	}
 
 	/**
@@ -110,6 +121,9 @@
 			if (this.unframedRandom.nextInt(UNFRAMED_STORE_INTERVAL) == 0) {
 				replyUnframedFromStore();
 			}
+			if (this.linkRandom.nextInt(LOST_LINKS_INTERVAL) == 0) {
+				loseLinks();
+			}
 			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
 		}
 		for (Future<?> each : this.undoTasks) {
@@ -169,6 +183,28 @@
 		undoAfter(ms, () -> this.fleet.upstream(upstream).endBackoff());
 	}
 
+	// Cuts one VM to all VMs off from all upstreams.
+	private void loseLinks() {
+		List<SoakNode> nodes = new ArrayList<>(this.fleet.nodes());
+		nodes.removeAll(this.withoutLinks);
+		if (nodes.isEmpty()) {
+			return;
+		}
+		Collections.shuffle(nodes, this.linkRandom);
+		FaultProxy.Cut[] kinds = FaultProxy.Cut.values();
+		FaultProxy.Cut kind = kinds[this.linkRandom.nextInt(kinds.length)];
+		int durationMs = MIN_DURATION_MS + this.linkRandom.nextInt(MAX_DURATION_MS);
+		for (SoakNode node : nodes.subList(0, 1 + this.linkRandom.nextInt(nodes.size()))) {
+			this.violations.note(node.vm() + " loses its links, " + kind);
+			this.withoutLinks.add(node);
+			this.fleet.cut(node, kind);
+			undoAfter(durationMs, () -> {
+				this.fleet.heal(node);
+				this.withoutLinks.remove(node);
+			});
+		}
+	}
+
 	private void replyUnframed() {
 		List<String> ids = this.fleet.upstreamIds();
 		String upstream = ids.get(this.unframedRandom.nextInt(ids.size()));
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -24,6 +26,8 @@
 /**
  * Fleet of the soak test: VMs as processes, and a store and upstreams in the test
  * process. A proxy is placed on each path to the store, to an upstream and between VMs.
+ * Each VM reaches the upstreams by a loopback host of its own, so that it can be cut off
+ * from all of them.
  * <p>
  * Thread-safe.
  */
@@ -58,6 +62,8 @@
 
 	private static final int UPSTREAMS_PER_SERVICE = 3;
 
+	private static final int HOSTS_PER_NETWORK = 250;
+
 	/** Duration of a request, long enough that faults hit running requests. */
 	private static final long WORK_MS = 40;
 
@@ -81,12 +87,17 @@
 
 	private final ScheduledExecutorService replacementExecutor = Executors.newSingleThreadScheduledExecutor();
 
+	private final List<String> vmHosts;
+
 	private final List<SoakNode> nodes = new ArrayList<>();
 
+	private final Map<String, FaultProxy.Cut> cuts = new HashMap<>();
+
 	private int version;
 
 	SoakFleet(Path folder, int vms) throws IOException {
 		Files.createDirectories(folder);
+		this.vmHosts = IntStream.range(0, vms).mapToObj(SoakFleet::vmHost).toList();
 		this.store.rewriteAddresses(this::peerPath);
 		for (String service : List.of("plain", "engine", "pool")) {
 			for (int i = 0; i < UPSTREAMS_PER_SERVICE; i++) {
@@ -95,10 +106,41 @@
 		}
 		changeConfig();
 		for (int i = 0; i < vms; i++) {
-			this.nodes.add(new SoakNode("vm-" + i, DOMAIN, folder, this.store.address()));
+			this.nodes.add(new SoakNode("vm-" + i, DOMAIN, folder, this.store.address(), this.vmHosts.get(i)));
 		}
 	}
 
+	private static String vmHost(int vm) {
+		return "127.0." + (1 + vm / HOSTS_PER_NETWORK) + "." + (1 + vm % HOSTS_PER_NETWORK);
+	}
+
+	/**
+	 * Cut a VM off from all upstreams, present and future ones.
+	 * @param node the VM
+	 * @param kind what it sees
+	 */
+	synchronized void cut(SoakNode node, FaultProxy.Cut kind) {
+		this.cuts.put(node.upstreamHost(), kind);
+		runningPaths().forEach((path) -> path.cut(node.upstreamHost(), kind));
+	}
+
+	/**
+	 * End the cut of a VM.
+	 * @param node the VM
+	 */
+	synchronized void heal(SoakNode node) {
+		this.cuts.remove(node.upstreamHost());
+		runningPaths().forEach((path) -> path.heal(node.upstreamHost()));
+	}
+
+	private List<FaultProxy> runningPaths() {
+		return this.upstreamPaths.entrySet()
+			.stream()
+			.filter((entry) -> isRunning(entry.getKey()))
+			.map(Map.Entry::getValue)
+			.toList();
+	}
+
 	private String peerPath(String address) {
 		try {
 			FaultProxy proxy = FaultProxy.start(Address.parse(address).get());
@@ -113,7 +155,8 @@
 	synchronized String addUpstream(String service) throws IOException {
 		String id = "i-" + service + "-" + this.upstreams.size();
 		UpstreamStandin upstream = UpstreamStandin.start(id, this.group);
-		FaultProxy path = FaultProxy.start(upstream.address());
+		FaultProxy path = FaultProxy.start(upstream.address(), this.vmHosts);
+		this.cuts.forEach(path::cut);
 		upstream.advertise(path.address());
 		upstream.setWorkMs(WORK_MS);
 		upstream.crashOn(CRASHING, () -> replace(id, service));
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakNode.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakNode.java
@@ -34,16 +34,19 @@
 
 	private final Path folder;
 
+	private final String upstreamHost;
+
 	private final FaultProxy storePath;
 
 	private ManagedProcess process;
 
 	private int startCount;
 
-	SoakNode(String vm, String domain, Path folder, Address store) throws IOException {
+	SoakNode(String vm, String domain, Path folder, Address store, String upstreamHost) throws IOException {
 		this.vm = vm;
 		this.domain = domain;
 		this.folder = folder;
+		this.upstreamHost = upstreamHost;
 		this.storePath = FaultProxy.start(store);
 		writeSettings(52);
 		this.process = launch();
@@ -74,8 +77,8 @@
 	private ManagedProcess launch() throws IOException {
 		this.startCount++;
 		Path log = this.folder.resolve(this.vm + "-" + this.startCount + ".log");
-		return ManagedProcess.start(NodeMain.class.getName(),
-				List.of("--settings", settingsFile().toString(), "--metrics-port", "0"), log, JVM_OPTIONS,
+		return ManagedProcess.start(NodeMain.class.getName(), List.of("--settings", settingsFile().toString(),
+				"--metrics-port", "0", "--upstream-proxy-host", this.upstreamHost), log, JVM_OPTIONS,
 				SoakNode::parsePorts);
 	}
 
@@ -93,6 +96,10 @@
 		return this.vm;
 	}
 
+	String upstreamHost() {
+		return this.upstreamHost;
+	}
+
 	FaultProxy storePath() {
 		return this.storePath;
 	}
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -128,13 +128,13 @@
 	private Runnable drainAction = () -> {
 	};
 
-	private Node(NodeSettings settings, int metricsPort) {
+	private Node(NodeSettings settings, int metricsPort, Optional<String> proxyHost) {
 		this.metricsPort = metricsPort;
 		this.settings = settings;
 		WireIdentity identity = new WireIdentity(settings.vm(), Clocks.SYSTEM.wallMs(), new HybridClock(),
 				Clocks.SYSTEM::wallMs);
 		this.transport = WireTransport.create(identity, this.group);
-		this.links = new UpstreamLinks(this.group, this.loop, this.log, this.metrics, this.directory);
+		this.links = new UpstreamLinks(this.group, proxyHost, this.loop, this.log, this.metrics, this.directory);
 		ObjectClient objects = new ObjectClient(this.http, this.loop.executor(), settings.store(),
 				this.metrics::onStoreCall);
 		ReplicatedState state = new ReplicatedState(this.config, this.directory, this.quarantine, this.metrics);
@@ -171,7 +171,19 @@
 	 * @return the process, or the reason why it cannot start
 	 */
 	static Either<String, Node> start(NodeSettings settings, int metricsPort) {
-		Node node = new Node(settings, metricsPort);
+		return start(settings, metricsPort, Optional.empty());
+	}
+
+	/**
+	 * Start a process that reaches the upstreams by a proxy.
+	 * @param settings the settings
+	 * @param metricsPort the port of the metrics; 0 for a free port
+	 * @param proxyHost the host to connect to in place of those of the upstreams; empty
+	 * for their own
+	 * @return the process, or the reason why it cannot start
+	 */
+	static Either<String, Node> start(NodeSettings settings, int metricsPort, Optional<String> proxyHost) {
+		Node node = new Node(settings, metricsPort, proxyHost);
 		return node.listen().map((listeners) -> {
 			node.loop.execute(() -> node.startComponents(listeners));
 			return node;
--- a/node/src/main/java/org/tallycart/node/NodeMain.java
+++ b/node/src/main/java/org/tallycart/node/NodeMain.java
@@ -2,9 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
 import org.tallycart.core.serving.NodeSettings;
 import org.tallycart.node.log.NodeLogging;
 import org.tallycart.platform.settings.SettingsReader;
@@ -46,6 +48,10 @@
 	@Option(names = "--metrics-port", description = "Where metrics are shown; ${DEFAULT-VALUE} if not given.")
 	private int metricsPort = DEFAULT_METRICS_PORT;
 
+	@Option(names = "--upstream-proxy-host",
+			description = "Host that is connected to in place of those of upstreams;" + " their ports stay.")
+	private @Nullable String proxyHost;
+
 	@Option(names = "--self-test", description = "Serve on loopback, with a store and upstreams of its own, and stop.")
 	private boolean selfTest;
 
@@ -81,7 +87,7 @@
 			return ExitCode.OK;
 		}
 		NodeLogging.configure(this.logLevel);
-		Either<String, Node> node = Node.start(settings.get(), this.metricsPort);
+		Either<String, Node> node = Node.start(settings.get(), this.metricsPort, Optional.ofNullable(this.proxyHost));
 		if (node.isLeft()) {
 			System.err.println(node.getLeft());
 			return ExitCode.FAILED;
--- a/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
+++ b/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
@@ -1,5 +1,7 @@
 package org.tallycart.node.link;
 
+import java.util.Optional;
+
 import io.netty.channel.EventLoopGroup;
 import org.tallycart.core.ini.Address;
 import org.tallycart.core.link.UpstreamLinkMonitor;
@@ -45,18 +47,20 @@
 	/**
 	 * Create the links.
 	 * @param group the event loop group of the connections, with one loop
+	 * @param proxyHost the host to connect to in place of those of the upstreams; empty
+	 * for their own
 	 * @param loop the event loop
 	 * @param log the event log
 	 * @param metrics the metrics of the process
 	 * @param directory the upstreams that exist
 	 */
-	public UpstreamLinks(EventLoopGroup group, EventLoop loop, NodeLog log, NodeMetrics metrics,
-			UpstreamDirectory directory) {
+	public UpstreamLinks(EventLoopGroup group, Optional<String> proxyHost, EventLoop loop, NodeLog log,
+			NodeMetrics metrics, UpstreamDirectory directory) {
 		this.loop = loop;
 		this.log = log;
 		this.metrics = metrics;
 		this.directory = directory;
-		this.http = HttpClient.create(group, loop::nowMs, new Observer());
+		this.http = HttpClient.create(group, loop::nowMs, new Observer(), proxyHost);
 	}
 
 	/** Start the periodic checks. */
--- a/standin/src/main/java/org/tallycart/standin/FaultProxy.java
+++ b/standin/src/main/java/org/tallycart/standin/FaultProxy.java
@@ -3,11 +3,11 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.BindException;
 import java.net.Socket;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -18,7 +18,9 @@
  * and reset and refused connections. It relays the end of a stream as a half-close, and a
  * reset, or an end that follows dropped data, as a reset.
  * <p>
- * The sender sees no error when data is dropped.
+ * The sender sees no error when data is dropped. A proxy that listens on several hosts
+ * can be cut off for the callers of one of them, while the callers of the others reach
+ * the target.
  * <p>
  * Thread-safe.
  *
@@ -30,7 +32,12 @@
 
 	private static final long FREEZE_POLL_MS = 5;
 
-	private final ServerSocket server;
+	private static final String LOOPBACK = "127.0.0.1";
+
+	/** Attempts to find a port that is free on all hosts. */
+	private static final int MAX_PORT_ATTEMPTS = 20;
+
+	private final Map<String, FaultProxyListener> listeners = new LinkedHashMap<>();
 
 	private final Address target;
 
@@ -40,16 +47,13 @@
 		return thread;
 	});
 
-	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-
 	private final Direction towardsTarget = new Direction();
 
 	private final Direction towardsCaller = new Direction();
 
 	private volatile boolean refusing;
 
-	private FaultProxy(ServerSocket server, Address target) {
-		this.server = server;
+	private FaultProxy(Address target) {
 		this.target = target;
 	}
 
@@ -60,36 +64,56 @@
 	 * @throws IOException if no port can be bound
 	 */
 	public static FaultProxy start(Address target) throws IOException {
-		FaultProxy proxy = new FaultProxy(new ServerSocket(0, 256, InetAddress.getLoopbackAddress()), target);
-		proxy.threads.execute(proxy::accept);
+		return start(target, List.of(LOOPBACK));
+	}
+
+	/**
+	 * Start a proxy on a port that is free on several loopback hosts.
+	 * @param target the address that the proxy connects to
+	 * @param hosts the hosts, such as {@code 127.0.0.2}
+	 * @return the proxy
+	 * @throws IOException if no port can be bound on all hosts
+	 */
+	public static FaultProxy start(Address target, List<String> hosts) throws IOException {
+		FaultProxy proxy = new FaultProxy(target);
+		proxy.listen(hosts, MAX_PORT_ATTEMPTS);
+		proxy.listeners.values().forEach((listener) -> proxy.threads.execute(listener::accept));
 		return proxy;
 	}
 
-	private void accept() {
-		while (!this.server.isClosed()) {
-			try {
-				Socket caller = this.server.accept();
-				if (this.refusing) {
-					caller.close();
-					continue;
-				}
-				Socket upstream = new Socket(this.target.host(), this.target.port());
-				caller.setTcpNoDelay(true);
-				upstream.setTcpNoDelay(true);
-				this.sockets.add(caller);
-				this.sockets.add(upstream);
-				this.threads.execute(() -> relay(caller, upstream, this.towardsTarget));
-				this.threads.execute(() -> relay(upstream, caller, this.towardsCaller));
+	private void listen(List<String> hosts, int attempts) throws IOException {
+		int port = 0;
+		try {
+			for (String host : hosts) {
+				FaultProxyListener listener = FaultProxyListener.open(host, port, this::onAccepted);
+				this.listeners.put(host, listener);
+				port = listener.port();
 			}
-			catch (IOException ex) {
-				if (this.server.isClosed()) {
-					return;
-				}
+		}
+		catch (BindException ex) {
+			this.listeners.values().forEach(FaultProxyListener::close);
+			this.listeners.clear();
+			if (attempts <= 1) {
+				throw ex;
 			}
+			listen(hosts, attempts - 1);
 		}
 	}
 
-	private void relay(Socket from, Socket to, Direction direction) {
+	private void onAccepted(FaultProxyListener listener, Socket caller) throws IOException {
+		if (this.refusing) {
+			caller.close();
+			return;
+		}
+		Socket upstream = new Socket(this.target.host(), this.target.port());
+		caller.setTcpNoDelay(true);
+		upstream.setTcpNoDelay(true);
+		listener.add(caller, upstream);
+		this.threads.execute(() -> relay(caller, upstream, this.towardsTarget, listener));
+		this.threads.execute(() -> relay(upstream, caller, this.towardsCaller, listener));
+	}
+
+	private void relay(Socket from, Socket to, Direction direction, FaultProxyListener listener) {
 		byte[] buffer = new byte[BUFFER_BYTES];
 		try {
 			InputStream in = from.getInputStream();
@@ -98,6 +122,7 @@
 			int count = in.read(buffer);
 			while (count >= 0) {
 				direction.awaitDelivery();
+				listener.awaitDelivery();
 				dropped |= direction.dropping;
 				if (!direction.dropping) {
 					out.write(buffer, 0, count);
@@ -105,6 +130,7 @@
 				}
 				count = in.read(buffer);
 			}
+			listener.awaitDelivery();
 			if (dropped) {
 				reset(from);
 				reset(to);
@@ -122,6 +148,31 @@
 		}
 	}
 
+	/**
+	 * Cut off the callers of one host.
+	 * @param host the host
+	 * @param kind what they see
+	 */
+	public void cut(String host, Cut kind) {
+		listener(host).cut(kind);
+	}
+
+	/**
+	 * End the cut of one host. Data that was held back is delivered.
+	 * @param host the host
+	 */
+	public void heal(String host) {
+		listener(host).heal();
+	}
+
+	private FaultProxyListener listener(String host) {
+		FaultProxyListener listener = this.listeners.get(host);
+		if (listener == null) {
+			throw new IllegalArgumentException("the proxy does not listen on " + host);
+		}
+		return listener;
+	}
+
 	/**
 	 * Return the controls for data sent from the caller to the target.
 	 * @return the direction
@@ -142,8 +193,7 @@
 	 * Reset all current connections. New connections are still accepted.
 	 */
 	public void closeConnections() {
-		this.sockets.forEach(FaultProxy::reset);
-		this.sockets.clear();
+		this.listeners.values().forEach(FaultProxyListener::resetConnections);
 	}
 
 	/**
@@ -159,10 +209,10 @@
 	 * @return the address
 	 */
 	public Address address() {
-		return new Address("127.0.0.1", this.server.getLocalPort());
+		return this.listeners.values().iterator().next().address();
 	}
 
-	private static void reset(Socket socket) {
+	static void reset(Socket socket) {
 		try {
 			socket.setSoLinger(true, 0);
 			socket.close();
@@ -174,16 +224,25 @@
 
 	@Override
 	public void close() {
-		try {
-			this.server.close();
-		}
-		catch (IOException ex) {
-			// A failed close leaves nothing to clean up.
-		}
+		this.listeners.values().forEach(FaultProxyListener::close);
 		closeConnections();
 		this.threads.shutdownNow();
 	}
 
+	/** What callers that are cut off see. */
+	public enum Cut {
+
+		/** Nothing arrives in either direction, and new connections are not answered. */
+		SILENT,
+		/** Connections are reset, and new ones are refused. */
+		RESET,
+		/** Open connections live on, and new ones are refused. */
+		NEW_REFUSED,
+		/** Open connections live on, and new ones are not answered. */
+		NEW_SILENT
+
+	}
+
 	/** Fault controls for one direction of the proxy. Thread-safe. */
 	public static final class Direction {
 
