A request whose connections fail is retried three times without budget, not until its deadline

Callers of a service with four upstreams or fewer, none of which could be connected to, were held until their deadline and got 504, though nothing had run; each request opened connections as fast as it could meanwhile. Cause: a failed connection was retried without budget while at most four different upstreams had been tried, which a small service never exceeds.

--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -37,11 +37,8 @@
 	/** Least remaining time for which an attempt is started, in milliseconds. */
 	private static final long MIN_ATTEMPT_MS = 30;
 
-	/**
-	 * Number of tried upstreams up to which a failed connection is retried without retry
-	 * budget.
-	 */
-	private static final int MAX_CONNECT_ATTEMPTS = 4;
+	/** Number of failed connections that are retried without retry budget. */
+	private static final int MAX_UNCOUNTED_RETRIES = 3;
 
 	/** Lowest HTTP status that is an error. */
 	private static final int MIN_ERROR_STATUS = 400;
@@ -76,6 +73,8 @@
 
 	private int attempts;
 
+	private int uncountedRetries;
+
 	private boolean arrivalCounted;
 
 	private long firstEventMs;
@@ -318,9 +317,7 @@
 
 	private void retryOrFail(AttemptFailure failure) {
 		boolean allowed = !failure.mayHaveRun() || this.plan.route().repeatable();
-		boolean uncounted = failure.kind() == AttemptFailure.Kind.NOT_SENT
-				&& this.picker.triedCount() <= MAX_CONNECT_ATTEMPTS;
-		if (allowed && (uncounted || tryAcquireRetry())) {
+		if (allowed && (tryRetryUncounted(failure) || tryAcquireRetry())) {
 			startAttempt();
 		}
 		else {
@@ -328,6 +325,14 @@
 		}
 	}
 
+	private boolean tryRetryUncounted(AttemptFailure failure) {
+		if (failure.kind() != AttemptFailure.Kind.NOT_SENT || this.uncountedRetries >= MAX_UNCOUNTED_RETRIES) {
+			return false;
+		}
+		this.uncountedRetries++;
+		return true;
+	}
+
 	private boolean tryAcquireRetry() {
 		if (this.attempts >= this.plan.route().maxAttempts() || this.plan.deadlineMs() - now() < MIN_ATTEMPT_MS) {
 			return false;
--- a/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
+++ b/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
@@ -152,14 +152,6 @@
 		this.tried.remove(id);
 	}
 
-	/**
-	 * Return the number of upstreams that were tried.
-	 * @return the count
-	 */
-	int triedCount() {
-		return this.tried.size();
-	}
-
 	/** Stop picking; a permit that is granted later is not used. */
 	void stop() {
 		this.stopped = true;
