A VM without links to upstreams reports no crashes of upstreams

A refused probe is concluded 100 ms later now, within which the VM finds out whether it can connect to any upstream. UpstreamCrashDetectorTests.aVmWithoutLinksReportsNoCrash fails without the check (tried in a clone), passes with it; CrashingRequestTests pass.

--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -143,8 +143,8 @@
 		this.crashDistributor = new NoticeDistributor(settings.vm(), this.store);
 		this.crashReports = new CrashReportCoordinator(this.quarantine, this.loop, this.log,
 				new QuarantineRecords(objects), this.crashDistributor);
-		UpstreamCrashDetector crashes = new UpstreamCrashDetector(this.links.http(), this.loop, this.log, this.metrics,
-				this.crashReports);
+		UpstreamCrashDetector crashes = new UpstreamCrashDetector(this.links.http(), this.links::isIsolated, this.loop,
+				this.log, this.metrics, this.crashReports);
 		this.statementDistributor = new NoticeDistributor(settings.vm(), this.store);
 		this.statements = new UpstreamStatements(this.loop, () -> identity.clock().tick(Clocks.SYSTEM.wallMs()),
 				this.log, this.metrics, this.directory, this.statementDistributor, this::updateWatchedRoles);
--- a/node/src/main/java/org/tallycart/node/crash/CrashReportCoordinator.java
+++ b/node/src/main/java/org/tallycart/node/crash/CrashReportCoordinator.java
@@ -35,7 +35,7 @@
  *
  * @since 0.1
  */
-public final class CrashReportCoordinator implements PeerMessageHandler {
+public final class CrashReportCoordinator implements PeerMessageHandler, UpstreamCrashDetector.Listener {
 
 	/** Delay before a failed write of a record is retried, in milliseconds. */
 	private static final long PUBLISH_RETRY_MS = 1_000;
@@ -81,6 +81,7 @@
 	 * @param report the crash of an upstream, seen by this VM or by one that reports to
 	 * it
 	 */
+	@Override
 	public void onCrash(CrashReport report) {
 		this.reports.add(report, this.loop.nowMs()).ifPresent(this::forward);
 	}
@@ -157,6 +158,7 @@
 	 * Record that a request was served completely. Must be called for each.
 	 * @param fingerprint the fingerprint of the request
 	 */
+	@Override
 	public void onServed(Fingerprint fingerprint) {
 		this.servedRequests.add(fingerprint, this.loop.nowMs());
 		clearSuspect(fingerprint);
--- a/node/src/main/java/org/tallycart/node/crash/UpstreamCrashDetector.java
+++ b/node/src/main/java/org/tallycart/node/crash/UpstreamCrashDetector.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 import org.tallycart.core.crash.CrashReport;
 import org.tallycart.core.crash.Fingerprint;
@@ -40,33 +41,43 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MS = 300;
 
+	/**
+	 * Time after a refused probe until the upstream counts as crashed, in milliseconds. A
+	 * VM whose own links fail finds out within it.
+	 */
+	private static final long CONFIRMATION_MS = 100;
+
 	private final HttpClient http;
 
+	private final BooleanSupplier linksLost;
+
 	private final EventLoop loop;
 
 	private final NodeLog log;
 
 	private final NodeMetrics metrics;
 
-	private final CrashReportCoordinator coordinator;
+	private final Listener listener;
 
 	private final Map<String, PendingProbe> pendingProbes = new HashMap<>();
 
 	/**
 	 * Create a detector.
 	 * @param http the client that connects to upstreams
+	 * @param linksLost returns whether this VM can connect to no upstream
 	 * @param loop the event loop
 	 * @param log the log for results
 	 * @param metrics the metrics of this process
-	 * @param coordinator receives a report of each upstream that has crashed
+	 * @param listener receives a report of each upstream that has crashed
 	 */
-	public UpstreamCrashDetector(HttpClient http, EventLoop loop, NodeLog log, NodeMetrics metrics,
-			CrashReportCoordinator coordinator) {
+	public UpstreamCrashDetector(HttpClient http, BooleanSupplier linksLost, EventLoop loop, NodeLog log,
+			NodeMetrics metrics, Listener listener) {
 		this.http = http;
+		this.linksLost = linksLost;
 		this.loop = loop;
 		this.log = log;
 		this.metrics = metrics;
-		this.coordinator = coordinator;
+		this.listener = listener;
 	}
 
 	/**
@@ -92,10 +103,20 @@
 	 * @param fingerprint the fingerprint of the request
 	 */
 	public void onServed(Fingerprint fingerprint) {
-		this.coordinator.onServed(fingerprint);
+		this.listener.onServed(fingerprint);
 	}
 
 	private void onProbed(UpstreamEntry upstream, ProbeResult presence) {
+		if (presence == ProbeResult.REFUSES) {
+			this.loop.schedule(CONFIRMATION_MS,
+					() -> conclude(upstream, this.linksLost.getAsBoolean() ? ProbeResult.SILENT : presence));
+		}
+		else {
+			conclude(upstream, presence);
+		}
+	}
+
+	private void conclude(UpstreamEntry upstream, ProbeResult presence) {
 		PendingProbe probe = this.pendingProbes.remove(upstream.incarnation());
 		if (probe == null) {
 			return;
@@ -108,10 +129,27 @@
 			.map(InterruptedRequest::request)
 			.toList();
 		if (presence == ProbeResult.REFUSES && !suspects.isEmpty()) {
-			this.coordinator.onCrash(CrashReport.of(upstream.incarnation(), probe.sinceMs, suspects));
+			this.listener.onCrash(CrashReport.of(upstream.incarnation(), probe.sinceMs, suspects));
 		}
 	}
 
+	/** Receives what is found. */
+	public interface Listener {
+
+		/**
+		 * Handle a crash of an upstream.
+		 * @param report the report
+		 */
+		void onCrash(CrashReport report);
+
+		/**
+		 * Handle a request that was served completely.
+		 * @param fingerprint the fingerprint of the request
+		 */
+		void onServed(Fingerprint fingerprint);
+
+	}
+
 	/**
 	 * A probe of one upstream that is due, or has not completed.
 	 *
