One upstream is probed first when links may be lost, and silence counts from a second on

The check of lost links opened two connections after 0.4 s without a byte while a call was in progress, which a first token of an engine or a pool's call can take on a quiet VM: connections to workers are dear, and nothing was wrong. One connection after a second now; a silent cut still shows by connections that fail, within about 1 s. UpstreamLinkMonitorTests (11), LostLinksFleetTests (52) and RelaySelectorTests (4) pass.

--- a/core/src/main/java/org/tallycart/core/link/UpstreamLinkMonitor.java
+++ b/core/src/main/java/org/tallycart/core/link/UpstreamLinkMonitor.java
@@ -36,7 +36,7 @@
 	private static final int SUSPICIOUS_FAILURES = 2;
 
 	/** Number of other upstreams that are probed first to check a suspicion. */
-	private static final int FIRST_PROBES = 2;
+	private static final int FIRST_PROBES = 1;
 
 	/**
 	 * Number of upstreams that are probed if the first probes fail. Many upstreams may
@@ -45,7 +45,7 @@
 	private static final int SECOND_PROBES = 12;
 
 	/** Time without a byte from any upstream that is suspicious, in milliseconds. */
-	private static final long SILENCE_MS = 400;
+	private static final long SILENCE_MS = 1_000;
 
 	/** Least time between two checks, in milliseconds. */
 	private static final long CHECK_INTERVAL_MS = 1_000;
