--- a/integration-tests/src/test/java/org/tallycart/integration/soak/LostLinksTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/LostLinksTests.java
@@ -28,6 +28,9 @@
 
 	private static final long MEASURED_MS = 4_000;
 
+	/** Time in which the other VMs restart in turn. */
+	private static final long RESTARTS_MS = 14_000;
+
 	private static final long START_MS = 12_000;
 
 	private static final int PAUSE_MS = 25;
@@ -69,6 +72,35 @@
 		}
 	}
 
+	// Guards against calls that are lost with the VM that makes them, when it restarts.
+	@Test
+	void callersOfAVmWithoutLinksAreServedWhileOthersRestart() throws Exception {
+		Violations violations = new Violations();
+		Path folder = Path.of("target", "lost-links", "restarts");
+		try (SoakFleet fleet = new SoakFleet(folder, VMS); SoakCallers callers = SoakCallers.idle(fleet, violations)) {
+			awaitServing(fleet, callers);
+			SoakNode lost = fleet.nodes().get(0);
+			fleet.cut(lost, FaultProxy.Cut.RESET);
+			count(callers, lost, "first", CONTACT_MS);
+			ExecutorService thread = Executors.newSingleThreadExecutor();
+			try {
+				Future<Count> pending = thread.submit(() -> count(callers, lost, "restarts", RESTARTS_MS));
+				for (SoakNode other : fleet.nodes().subList(1, VMS)) {
+					other.process().requestStop();
+					other.process().awaitExit();
+					other.restart();
+				}
+				Count counted = pending.get();
+				callers.checkRuns();
+				assertTrue(counted.served() >= SERVED_RATIO * counted.sent(), counted + ", logs in " + folder);
+				assertTrue(violations.isEmpty(), violations.toString());
+			}
+			finally {
+				thread.shutdown();
+			}
+		}
+	}
+
 	private static void awaitServing(SoakFleet fleet, SoakCallers callers) {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MS);
 		for (SoakNode node : fleet.nodes()) {
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -357,7 +357,7 @@
 	}
 
 	private void awaitIdle(HttpServer callers, long deadlineMs) {
-		boolean idle = callers.busyConnections() == 0 && this.pieces.idle();
+		boolean idle = callers.busyConnections() == 0 && this.pieces.idle() && this.links.idle();
 		if (idle || this.loop.nowMs() >= deadlineMs) {
 			this.log.event(EventCode.DRAIN_ENDED, "idle", idle);
 			this.loop.schedule(DRAIN_CHECK_INTERVAL_MS, this.stopped::countDown);
--- a/node/src/main/java/org/tallycart/node/link/RelayService.java
+++ b/node/src/main/java/org/tallycart/node/link/RelayService.java
@@ -136,6 +136,10 @@
 		}
 	}
 
+	int callsInProgress() {
+		return this.callsInProgress;
+	}
+
 	void cancelSilent() {
 		long silentSinceMs = this.loop.nowMs() - SILENCE_MS;
 		for (Origin origin : new ArrayList<>(this.origins.values())) {
--- a/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
+++ b/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
@@ -98,6 +98,14 @@
 		this.draining = true;
 	}
 
+	/**
+	 * Return whether this VM makes no call for another one.
+	 * @return true if there is none in progress
+	 */
+	public boolean idle() {
+		return this.relayService.callsInProgress() == 0;
+	}
+
 	/**
 	 * Return the client of this VM's own connections.
 	 * @return the client
