Probes of lost links spare upstreams that drain or are evacuated

An operator's order to send nothing to a failure domain, and an upstream that leaves, hold for connections of probes too. Found by reading. UpstreamDirectoryTests.drainingAndEvacuatedUpstreamsAreNotConnectable.

--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -285,11 +285,16 @@
 	}
 
 	/**
-	 * Return the entries of all listed upstreams.
-	 * @return the entries, in no order
+	 * Return the entries of the listed upstreams that may be connected to.
+	 * @return the entries, in no order; without upstreams that are draining or evacuated
 	 */
-	public List<UpstreamEntry> entries() {
-		return this.states.values().stream().map(UpstreamState::entry).toList();
+	public List<UpstreamEntry> connectableEntries() {
+		return this.states.values()
+			.stream()
+			.filter((state) -> !state.isDraining())
+			.map(UpstreamState::entry)
+			.filter((entry) -> !this.evacuatedDomains.contains(entry.failureDomain()))
+			.toList();
 	}
 
 	/**
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -185,6 +185,15 @@
 		assertEquals(candidates(0), List.of("a", "b", "far"));
 	}
 
+	// Guards against connections to upstreams that drain or are evacuated.
+	@Test
+	void drainingAndEvacuatedUpstreamsAreNotConnectable() {
+		this.directory.put(entry("a", true), 50);
+		assertEquals(this.directory.connectableEntries(), List.of(entry("b", false)));
+		this.directory.setEvacuatedDomains(Set.of("d"));
+		assertEquals(this.directory.connectableEntries(), List.of());
+	}
+
 	@Test
 	void thereAreNoCandidatesBeforeEvacuationsAreLoaded() {
 		this.directory.expectEvacuations();
--- a/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
+++ b/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
@@ -139,7 +139,7 @@
 
 	private void update() {
 		this.relayService.cancelSilent();
-		for (Address address : this.monitor.update(this.directory.entries(), this.loop.nowMs())) {
+		for (Address address : this.monitor.update(this.directory.connectableEntries(), this.loop.nowMs())) {
 			this.http.probe(address, PROBE_TIMEOUT_MS, (result) -> {
 				// The observer records the result.
 			});
