Logs and counts tell at which software version a stream runs and goes on

TC6001 has resumes and after_event, TC6003 software, fetch_software and after_event, TC6009 (catalogued before, never written) both versions of a continuation; streams_continued and streams_continued_at_other_version count them. Nothing decides by these values yet.

--- a/core/src/main/java/org/tallycart/core/serving/CallerRequest.java
+++ b/core/src/main/java/org/tallycart/core/serving/CallerRequest.java
@@ -22,11 +22,21 @@
  * stages
  * @param pieceKey the key of the source data for pieces without inputs
  * @param lastEventId the id of the last event received, if the caller resumes a stream
+ * @param resumedRequest the id of the request that brought the first event of the stream,
+ * if the caller resumes one
  * @since 0.1
  */
 public record CallerRequest(String id, String method, String target, String host, List<HeaderField> forwarded,
 		byte[] body, Optional<Long> waitMs, Optional<String> key, Optional<Prompt> prompt, List<Integer> pieceCounts,
-		String pieceKey, Optional<String> lastEventId) {
+		String pieceKey, Optional<String> lastEventId, Optional<String> resumedRequest) {
+
+	/**
+	 * Return whether the caller resumes a stream that an earlier request began.
+	 * @return true if it names the last event or the earlier request
+	 */
+	public boolean resumesStream() {
+		return this.lastEventId.isPresent() || this.resumedRequest.isPresent();
+	}
 
 	/**
 	 * Return the path of the request target.
--- a/core/src/main/java/org/tallycart/core/serving/UpstreamEntry.java
+++ b/core/src/main/java/org/tallycart/core/serving/UpstreamEntry.java
@@ -14,6 +14,8 @@
  * @param startedMs start time in Unix milliseconds on the clock of the upstream; empty if
  * not reported
  * @param service the service that the upstream provides
+ * @param softwareVersion version of the upstream's software, which is independent of the
+ * version of its model weights
  * @param address listen address; may be reused by another upstream later
  * @param failureDomain failure domain of the upstream
  * @param slots maximum number of concurrent requests
@@ -22,8 +24,8 @@
  * if the upstream is warm
  * @since 0.1
  */
-public record UpstreamEntry(String id, OptionalLong startedMs, String service, Address address, String failureDomain,
-		int slots, boolean draining, long coldMs) {
+public record UpstreamEntry(String id, OptionalLong startedMs, String service, String softwareVersion, Address address,
+		String failureDomain, int slots, boolean draining, long coldMs) {
 
 	/**
 	 * Create a builder.
@@ -66,8 +68,8 @@
 	}
 
 	private UpstreamEntry withColdMs(long remainingMs) {
-		return new UpstreamEntry(this.id, this.startedMs, this.service, this.address, this.failureDomain, this.slots,
-				this.draining, remainingMs);
+		return new UpstreamEntry(this.id, this.startedMs, this.service, this.softwareVersion, this.address,
+				this.failureDomain, this.slots, this.draining, remainingMs);
 	}
 
 	/**
@@ -81,6 +83,8 @@
 
 		private OptionalLong startedMs = OptionalLong.empty();
 
+		private String softwareVersion = "";
+
 		private Address address = new Address("", 0);
 
 		private String failureDomain = "";
@@ -107,6 +111,16 @@
 			return this;
 		}
 
+		/**
+		 * Set the version of the software.
+		 * @param newVersion the version; empty if not reported
+		 * @return this builder
+		 */
+		public Builder softwareVersion(String newVersion) {
+			this.softwareVersion = newVersion;
+			return this;
+		}
+
 		/**
 		 * Set the address and failure domain.
 		 * @param newAddress the listen address
@@ -154,8 +168,8 @@
 		 * @return the entry
 		 */
 		public UpstreamEntry build() {
-			return new UpstreamEntry(this.id, this.startedMs, this.service, this.address, this.failureDomain,
-					this.slots, this.draining, this.coldMs);
+			return new UpstreamEntry(this.id, this.startedMs, this.service, this.softwareVersion, this.address,
+					this.failureDomain, this.slots, this.draining, this.coldMs);
 		}
 
 	}
--- a/core/src/test/java/org/tallycart/core/crash/FingerprintTests.java
+++ b/core/src/test/java/org/tallycart/core/crash/FingerprintTests.java
@@ -18,9 +18,9 @@
 
 	private static Fingerprint fingerprint(String id, String method, String host, String target, String key,
 			String body) {
-		return Fingerprint
-			.of(new CallerRequest(id, method, target, host, List.of(), body.getBytes(StandardCharsets.UTF_8),
-					Optional.empty(), Optional.of(key), Optional.empty(), List.of(), "", Optional.empty()));
+		return Fingerprint.of(new CallerRequest(id, method, target, host, List.of(),
+				body.getBytes(StandardCharsets.UTF_8), Optional.empty(), Optional.of(key), Optional.empty(), List.of(),
+				"", Optional.empty(), Optional.empty()));
 	}
 
 	@Test
--- a/core/src/test/java/org/tallycart/core/serving/UpstreamEntryTests.java
+++ b/core/src/test/java/org/tallycart/core/serving/UpstreamEntryTests.java
@@ -23,7 +23,8 @@
 	static Object[][] changes() {
 		return new Object[][] { { entry(), false }, { entry().coldMs(900), true },
 				{ entry().startedMs(OptionalLong.of(2)), true }, { entry().draining(true), true },
-				{ entry().slots(9), true }, { entry().location(new Address("10.0.0.2", 1), "d"), true } };
+				{ entry().slots(9), true }, { entry().softwareVersion("v2"), true },
+				{ entry().location(new Address("10.0.0.2", 1), "d"), true } };
 	}
 
 	@Test(dataProvider = "changes")
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -59,6 +59,14 @@
 		this.firstEventMs.update(ms);
 	}
 
+	/**
+	 * Count a broken stream that goes on at another upstream, within one response.
+	 * @param sameVersion whether both upstreams run the same version of their software
+	 */
+	public void onStreamContinued(boolean sameVersion) {
+		this.registry.counter(sameVersion ? "streams.continued" : "streams.continued_at_other_version").inc();
+	}
+
 	/**
 	 * Count a send to an upstream that failed without a reply.
 	 * @param kind the kind of failure
--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -82,7 +82,8 @@
 		this.context.log()
 			.request(EventCode.REQUEST_ACCEPTED, request.id(), "route", route.get().name(), "version",
 					current.version(), "service", service, "wait_ms", waitMs, "rank", plan.priority().sortKey(),
-					"fingerprint", plan.fingerprint().shortText());
+					"fingerprint", plan.fingerprint().shortText(), "resumes", request.resumedRequest().orElse("none"),
+					"after_event", request.lastEventId().orElse("none"));
 		new RequestFlow(this.context, plan, responder).start();
 	}
 
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -174,12 +174,16 @@
 			this.context.retryBudgets().onArrival(this.plan.service());
 		}
 		this.context.log()
-			.request(EventCode.UPSTREAM_CHOSEN, this.plan.request().id(), "upstream", upstream.entry().id(), "domain",
-					upstream.entry().failureDomain(), "cold_ms", upstream.remainingColdMs(now()), "limit",
-					this.context.statements().limitText(upstream.entry()), "accepts_in_ms",
-					this.context.statements().acceptsInMs(upstream.entry()), "send", this.attempts, "in_flight",
-					upstream.inFlight(), "error_rate", upstream.errorRate(), "left_ms", remainingMs, "session",
-					session(), "fetch_from", choice.fetchFrom().map((from) -> from.entry().id()).orElse("none"));
+			.request(EventCode.UPSTREAM_CHOSEN, this.plan.request().id(), "upstream", upstream.entry().id(), "software",
+					upstream.entry().softwareVersion(), "domain", upstream.entry().failureDomain(), "cold_ms",
+					upstream.remainingColdMs(now()), "limit", this.context.statements().limitText(upstream.entry()),
+					"accepts_in_ms", this.context.statements().acceptsInMs(upstream.entry()), "send", this.attempts,
+					"in_flight", upstream.inFlight(), "error_rate", upstream.errorRate(), "left_ms", remainingMs,
+					"session", session(), "fetch_from",
+					choice.fetchFrom().map((from) -> from.entry().id()).orElse("none"), "fetch_software",
+					choice.fetchFrom().map((from) -> from.entry().softwareVersion()).orElse("none"), "after_event",
+					this.lastEventId.orElse("none"));
+		logContinued(upstream);
 		this.context.coldStartLimiter().onSend(upstream, now());
 		this.context.statements().onSend(upstream.entry());
 		Attempt newAttempt = new Attempt(this.context, this.plan, choice, this.lastEventId, this);
@@ -188,6 +192,18 @@
 		newAttempt.send(options(choice, remainingMs));
 	}
 
+	// Logs that a stream which broke within this response goes on.
+	private void logContinued(UpstreamState upstream) {
+		if (this.streaming && this.attempt != null) {
+			String from = this.attempt.upstream().entry().softwareVersion();
+			String to = upstream.entry().softwareVersion();
+			this.context.metrics().onStreamContinued(from.equals(to));
+			this.context.log()
+				.request(EventCode.STREAM_CONTINUED, this.plan.request().id(), "upstream", upstream.entry().id(),
+						"from_software", from, "to_software", to, "after_event", this.lastEventId.orElse("none"));
+		}
+	}
+
 	@Override
 	public void onNoUpstream() {
 		if (this.retryAfter.acceptsInMs() > 0) {
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -119,9 +119,10 @@
 	}
 
 	private void logListed(UpstreamEntry entry) {
-		this.log.event(EventCode.UPSTREAM_LISTED, "upstream", entry.id(), "service", entry.service(), "address",
-				entry.address(), "domain", entry.failureDomain(), "draining", entry.draining(), "cold_ms",
-				entry.coldMs(), "started", entry.startedMs().isPresent() ? entry.startedMs().getAsLong() : "unknown");
+		this.log.event(EventCode.UPSTREAM_LISTED, "upstream", entry.id(), "service", entry.service(), "software",
+				entry.softwareVersion(), "address", entry.address(), "domain", entry.failureDomain(), "draining",
+				entry.draining(), "cold_ms", entry.coldMs(), "started",
+				entry.startedMs().isPresent() ? entry.startedMs().getAsLong() : "unknown");
 	}
 
 	@Override
