Prompt memory is copied between engines of one software version only

Seen: 30 of 56 copies in the incident's first 15 s went between versions. Cause: the engine that a prompt's parts are copied from is the home of the session, or of the first part, among all engines. Now it is the home among the engines of the chosen one's version, so that each version has a home for a session; with one version nothing changes.

--- a/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
+++ b/core/src/main/java/org/tallycart/core/upstream/EngineChooser.java
@@ -14,7 +14,8 @@
  * Each session has a home engine by rendezvous hash, so all VMs agree without
  * coordination. A request goes to another engine when the home's expected wait is longer
  * by more than the cost of prefilling or copying the shared parts; that engine then
- * copies them from the home.
+ * copies them from the home. Parts are copied only between engines of one software
+ * version, each of which has a home of its own for a session.
  * <p>
  * Thread-safe: holds no state.
  *
@@ -63,17 +64,28 @@
 				bestMs = otherMs;
 			}
 		}
-		UpstreamState source = (best != home) ? home : firstPartHome(prompt, candidates);
+		return new UpstreamChoice(best, findSource(prompt, best, candidates, nowMs));
+	}
+
+	private static Optional<UpstreamState> findSource(Prompt prompt, UpstreamState best,
+			Collection<UpstreamState> candidates, long nowMs) {
+		Collection<UpstreamState> compatible = ofSameVersion(best, candidates);
+		UpstreamState home = home(prompt, prompt.session(), compatible);
+		UpstreamState source = (best != home) ? home : home(prompt, prompt.firstPart(), compatible);
 		int tokens = (best != home) ? prompt.sharedTokens() : prompt.firstPartTokens();
 		boolean fetch = source != best && tokens >= MIN_FETCH_TOKENS && source.isUsable(nowMs);
-		return new UpstreamChoice(best, fetch ? Optional.of(source) : Optional.empty());
+		return fetch ? Optional.of(source) : Optional.empty();
+	}
+
+	private static Collection<UpstreamState> ofSameVersion(UpstreamState engine, Collection<UpstreamState> candidates) {
+		String version = engine.entry().softwareVersion();
+		return candidates.stream().filter((state) -> state.entry().softwareVersion().equals(version)).toList();
 	}
 
 	// Sessions with the same first part copy it from one engine, instead of a prefill on
 	// each engine. The home of the first part itself copies nothing.
-	private static UpstreamState firstPartHome(Prompt prompt, Collection<UpstreamState> candidates) {
-		return RendezvousHash.first(prompt.model() + "/" + prompt.firstPart(), candidates, UpstreamState::name)
-			.orElseThrow();
+	private static UpstreamState home(Prompt prompt, String part, Collection<UpstreamState> candidates) {
+		return RendezvousHash.first(prompt.model() + "/" + part, candidates, UpstreamState::name).orElseThrow();
 	}
 
 	private static double expectedWaitMs(UpstreamState state, long nowMs) {
--- a/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/ChooserTests.java
@@ -109,6 +109,30 @@
 		assertEquals(sources.size(), 1);
 	}
 
+	// Guards against prompt memory that one software version wrote being copied to
+	// another.
+	@Test
+	void partsAreCopiedWithinOneSoftwareVersionOnly() {
+		for (int i = 0; i < 8; i++) {
+			UpstreamEntry entry = UpstreamEntry.builder("n" + i, "s")
+				.softwareVersion("v2")
+				.location(new Address("10.0.0.2", i), "d" + i % 4)
+				.slots(128)
+				.build();
+			this.engines.add(new UpstreamState(entry, new UnavailabilityRegistry(), 0));
+		}
+		Set<String> versions = new HashSet<>();
+		for (int i = 0; i < 200; i++) {
+			UpstreamChoice choice = choose(prompt("s" + i));
+			choice.upstream().onSend((i % 2 == 0) ? 900 : 0);
+			choice.fetchFrom().ifPresent((source) -> {
+				versions.add(source.entry().softwareVersion());
+				assertEquals(source.entry().softwareVersion(), choice.upstream().entry().softwareVersion());
+			});
+		}
+		assertEquals(versions, Set.of("", "v2"));
+	}
+
 	@Test
 	void aPromptWithoutSharedPartsIsNotCopied() {
 		Prompt plain = new Prompt("m", 100, List.of());
