--- a/core/src/main/java/org/tallycart/core/serving/Route.java
+++ b/core/src/main/java/org/tallycart/core/serving/Route.java
@@ -60,6 +60,16 @@
 		return this.kind == RequestKind.IDEMPOTENT || (this.kind == RequestKind.STREAMING && this.resumable);
 	}
 
+	/**
+	 * Return whether requests may go to a service.
+	 * @param service the service
+	 * @return true if it has a share of the requests
+	 */
+	public boolean leadsTo(String service) {
+		return this.shares.stream()
+			.anyMatch((share) -> share.service().equals(service) && (share.weight() > 0 || this.shares.size() == 1));
+	}
+
 	/**
 	 * Select a service by weight.
 	 * @param random a random number, uniform over all long values
--- a/core/src/main/java/org/tallycart/core/serving/ServingConfig.java
+++ b/core/src/main/java/org/tallycart/core/serving/ServingConfig.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One complete version of the configuration. A request is served with the version that
@@ -19,6 +21,8 @@
 
 	private final Map<String, Map<String, Route>> routesByHost;
 
+	private final Set<String> streamingServices;
+
 	private final Map<String, ServiceSpec> services;
 
 	private final CallerLimits limits;
@@ -41,6 +45,10 @@
 			Map<String, Workspace> workspacesByKey, boolean keysRequired) {
 		this.version = version;
 		this.routesByHost = indexByHost(routes);
+		this.streamingServices = routes.stream()
+			.filter((route) -> route.kind() == RequestKind.STREAMING)
+			.flatMap((route) -> route.shares().stream().map(ServiceShare::service))
+			.collect(Collectors.toUnmodifiableSet());
 		this.services = Map.copyOf(services);
 		this.limits = limits;
 		this.workspacesByKey = Map.copyOf(workspacesByKey);
@@ -55,6 +63,14 @@
 		return byHost;
 	}
 
+	/**
+	 * Return the services to which routes of streaming requests lead.
+	 * @return the names of the services
+	 */
+	public Set<String> streamingServices() {
+		return this.streamingServices;
+	}
+
 	/**
 	 * Return the version number.
 	 * @return the version number
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -44,6 +45,9 @@
 
 	private final UnavailabilityRegistry unavailability = new UnavailabilityRegistry();
 
+	// When the last upstream of a software version was unlisted, by service and version.
+	private final Map<String, Map<String, Long>> unlistedVersionsMs = new HashMap<>();
+
 	private Set<String> evacuatedDomains = Set.of();
 
 	private boolean evacuationsLoaded = true;
@@ -90,6 +94,9 @@
 			this.states.put(entry.id(), returned);
 		}
 		UpstreamState current = this.states.get(entry.id());
+		if (current != null && !current.entry().softwareVersion().equals(entry.softwareVersion())) {
+			onVersionUnlisted(current, nowMs);
+		}
 		if (current == null || entry.startedAfter(current.entry())) {
 			this.states.put(entry.id(), new UpstreamState(entry, this.unavailability, nowMs));
 		}
@@ -134,11 +141,37 @@
 	/**
 	 * Remove an upstream whose entry is invalid, without a grace period.
 	 * @param id the upstream's id
+	 * @param nowMs the current monotonic time, in milliseconds
 	 */
-	public void removeInvalid(String id) {
+	public void removeInvalid(String id, long nowMs) {
 		this.byService.clear();
-		this.states.remove(id);
-		this.vanished.remove(id);
+		Stream.of(this.states, this.vanished)
+			.map((upstreams) -> upstreams.remove(id))
+			.filter(Objects::nonNull)
+			.forEach((state) -> onVersionUnlisted(state, nowMs));
+	}
+
+	private void onVersionUnlisted(UpstreamState state, long nowMs) {
+		this.unlistedVersionsMs.computeIfAbsent(state.entry().service(), (key) -> new HashMap<>())
+			.put(state.entry().softwareVersion(), nowMs);
+	}
+
+	/**
+	 * Return the software versions of a service that were listed at any time since a
+	 * given one.
+	 * @param service the service
+	 * @param sinceMs the time, in monotonic time
+	 * @return the versions, of upstreams in any state
+	 */
+	public Set<String> softwareVersionsSince(String service, long sinceMs) {
+		Set<String> versions = new HashSet<>();
+		indexed(service).forEach((state) -> versions.add(state.entry().softwareVersion()));
+		this.unlistedVersionsMs.getOrDefault(service, Map.of()).forEach((version, unlistedMs) -> {
+			if (unlistedMs >= sinceMs) {
+				versions.add(version);
+			}
+		});
+		return versions;
 	}
 
 	/**
@@ -150,9 +183,15 @@
 	public void remove(String id, long nowMs) {
 		this.byService.clear();
 		UpstreamState state = this.states.remove(id);
-		if (state != null && !state.isDraining() && !isListTrusted(nowMs)) {
+		if (state == null) {
+			return;
+		}
+		if (!state.isDraining() && !isListTrusted(nowMs)) {
 			this.vanished.put(id, state);
 		}
+		else {
+			onVersionUnlisted(state, nowMs);
+		}
 	}
 
 	private boolean isListTrusted(long nowMs) {
@@ -200,6 +239,7 @@
 	public void expireVanished(long nowMs) {
 		if (isListTrusted(nowMs) && !this.vanished.isEmpty()) {
 			this.byService.clear();
+			this.vanished.values().forEach((state) -> onVersionUnlisted(state, nowMs));
 			this.vanished.clear();
 		}
 	}
@@ -267,13 +307,17 @@
 	 * @return the upstreams
 	 */
 	public List<UpstreamState> activeUpstreams(String service) {
+		List<UpstreamState> found = new ArrayList<>(indexed(service));
+		found.removeIf(UpstreamState::isDraining);
+		return found;
+	}
+
+	private List<UpstreamState> indexed(String service) {
 		if (this.byService.isEmpty()) {
 			this.states.values().forEach(this::index);
 			this.vanished.values().forEach(this::index);
 		}
-		List<UpstreamState> found = new ArrayList<>(this.byService.getOrDefault(service, List.of()));
-		found.removeIf(UpstreamState::isDraining);
-		return found;
+		return this.byService.getOrDefault(service, List.of());
 	}
 
 	private void index(UpstreamState state) {
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -178,10 +178,10 @@
 	@Test
 	void anUpstreamWithAnInvalidEntryIsNotUsedInAnOutage() {
 		this.directory.onStoreLost();
-		this.directory.removeInvalid("a");
+		this.directory.removeInvalid("a", 0);
 		assertEquals(candidates(100), List.of("b"));
 		this.directory.remove("b", 200);
-		this.directory.removeInvalid("b");
+		this.directory.removeInvalid("b", 0);
 		assertEquals(candidates(300), List.of(), "kept as vanished until then");
 	}
 
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -42,8 +42,11 @@
 import org.tallycart.node.store.ActiveConfig;
 import org.tallycart.node.store.ReplicatedState;
 import org.tallycart.node.store.StoreReplicator;
+import org.tallycart.node.stream.SoftwareVersionHistory;
+import org.tallycart.node.stream.StreamOriginService;
 import org.tallycart.platform.store.ObjectClient;
 import org.tallycart.platform.store.QuarantineRecords;
+import org.tallycart.platform.store.SoftwareVersionRecords;
 import org.tallycart.runtime.event.EventCode;
 import org.tallycart.runtime.process.Clocks;
 import org.tallycart.runtime.process.TaskFailureHandler;
@@ -111,6 +114,10 @@
 
 	private final PieceService pieces;
 
+	private final SoftwareVersionHistory versions;
+
+	private final StreamOriginService streamOrigins;
+
 	private final PeerMesh mesh;
 
 	private final StoreReplicator store;
@@ -153,15 +160,17 @@
 		PoolContext poolContext = new PoolContext(this.links, this.loop, this.log, releaser, crashes, this.statements,
 				this.permits, this.metrics);
 		this.pieces = new PieceService(settings.vm(), poolContext, this.config, this.directory);
-		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log,
-				PeerMessageHandler
-					.composite(List.of(this.pieces, this.crashReports, this.statements, this.permits, this.links)),
+		this.versions = new SoftwareVersionHistory(this.directory, this.config, new SoftwareVersionRecords(objects),
+				this.loop, this.log, this.store::upToDateSinceMs, this.store::readsStore);
+		this.streamOrigins = new StreamOriginService(settings.vm(), this.loop, this.metrics, this.versions);
+		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log, PeerMessageHandler.composite(
+				List.of(this.pieces, this.crashReports, this.statements, this.permits, this.links, this.streamOrigins)),
 				this.store);
 		this.budgets = new RetryBudgets(settings.platformLimits(), this.loop, this::budgetSharingVms);
 		this.coldStarts = new ColdStartLimiter(settings.vm(), this.mesh::vms, this::coldRequestsPerSecond);
 		ServingContext servingContext = new ServingContext(settings.failureDomain(), this.loop, this.log, this.links,
-				this.directory, this.coldStarts, this.statements, this.permits, this.pieces, this.budgets, crashes,
-				this.quarantine, this.metrics);
+				this.directory, this.coldStarts, this.statements, this.permits, this.pieces, this.streamOrigins,
+				this.budgets, crashes, this.quarantine, this.metrics);
 		this.callerHandler = new CallerHandler(servingContext, this.config);
 	}
 
@@ -275,6 +284,7 @@
 		this.metrics.registerGauge("upstreams.resting", this.statements::backoffCount);
 		this.metrics.registerGauge("quarantine.requests", () -> this.quarantine.all().size());
 		this.metrics.registerGauge("upstream_links.lost", () -> this.links.isIsolated() ? 1 : 0);
+		this.metrics.registerGauge("stream_origins.kept", this.streamOrigins::size);
 		this.metrics.registerGauge("store.following", () -> this.store.readsStore() ? 1 : 0);
 		this.drainAction = () -> beginDrain(listeners.callers());
 		this.log.event(EventCode.PROCESS_STARTED, "vm", this.settings.vm(), "domain", this.settings.failureDomain(),
@@ -283,13 +293,17 @@
 				new Address(this.settings.ip(), metricsPort()), "store", this.settings.store());
 		updateWatchedRoles();
 		this.mesh.start();
-		this.store.onRollback(this.crashReports::republish);
+		this.store.onRollback(() -> {
+			this.crashReports.republish();
+			this.versions.republish();
+		});
 		this.store.start(this.mesh, listeners.peers());
 		this.pieces.start(this.mesh);
 		this.crashDistributor.start(this.mesh);
 		this.statementDistributor.start(this.mesh);
 		this.permits.start(this.mesh);
 		this.links.start(this.settings.vm(), this.mesh);
+		this.streamOrigins.start(this.mesh);
 		this.loop.scheduleWithFixedDelay(HOUSEKEEPING_INTERVAL_MS, this::housekeeping);
 	}
 
@@ -299,6 +313,8 @@
 		this.crashReports.refresh();
 		this.statements.refresh();
 		this.permits.expire();
+		this.versions.refresh();
+		this.streamOrigins.refresh();
 		this.http.closeStale();
 		this.links.http().closeStale();
 		this.readiness.checkReadiness();
@@ -347,6 +363,7 @@
 		this.mesh.drain();
 		this.links.drain();
 		this.pieces.handOver();
+		this.streamOrigins.handOver();
 		callers.beginDrain();
 		long deadlineMs = this.loop.nowMs() + this.settings.platformLimits().graceMs() - KILL_RESERVE_MS;
 		this.loop.schedule(ACCEPT_DURING_DRAIN_MS, () -> {
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -67,6 +67,22 @@
 		this.registry.counter(sameVersion ? "streams.continued" : "streams.continued_at_other_version").inc();
 	}
 
+	/**
+	 * Count a stream that its caller resumes.
+	 * @param source how its origin was found, such as {@code other_vm} or {@code none}
+	 */
+	public void onStreamResumed(String source) {
+		this.registry.counter("streams.resumed." + source).inc();
+	}
+
+	/**
+	 * Count streams whose origins are told to another VM.
+	 * @param count the number of streams
+	 */
+	public void onStreamOriginsSent(int count) {
+		this.registry.counter("stream_origins.sent").inc(count);
+	}
+
 	/**
 	 * Count a send to an upstream that failed without a reply.
 	 * @param kind the kind of failure
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.tallycart.core.fleet.LeaderRole;
 import org.tallycart.core.fleet.LeaderTable;
@@ -55,6 +56,9 @@
 
 	private final PeerReachability reachability;
 
+	private Consumer<Collection<VmRecord>> recordsListener = (records) -> {
+	};
+
 	/**
 	 * Create a mesh.
 	 * @param vm this VM's name
@@ -87,6 +91,15 @@
 	 */
 	public void updateRecords(Collection<VmRecord> records) {
 		this.table.updateRecords(records);
+		this.recordsListener.accept(records);
+	}
+
+	/**
+	 * Set the listener for the records of the VMs.
+	 * @param listener receives the records of all VMs each time they are read
+	 */
+	public void onRecords(Consumer<Collection<VmRecord>> listener) {
+		this.recordsListener = listener;
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -1,6 +1,7 @@
 package org.tallycart.node.request;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.HttpRequest;
@@ -8,9 +9,11 @@
 import org.tallycart.core.crash.Fingerprint;
 import org.tallycart.core.serving.CallerLimits;
 import org.tallycart.core.serving.CallerRequest;
+import org.tallycart.core.serving.RequestKind;
 import org.tallycart.core.serving.Route;
 import org.tallycart.core.serving.ServingConfig;
 import org.tallycart.core.serving.Workspace;
+import org.tallycart.core.stream.StreamOrigin;
 import org.tallycart.http.event.RequestHandler;
 import org.tallycart.http.event.RequestLimits;
 import org.tallycart.http.event.Responder;
@@ -84,7 +87,38 @@
 					current.version(), "service", service, "wait_ms", waitMs, "rank", plan.priority().sortKey(),
 					"fingerprint", plan.fingerprint().shortText(), "resumes", request.resumedRequest().orElse("none"),
 					"after_event", request.lastEventId().orElse("none"));
-		new RequestFlow(this.context, plan, responder).start();
+		if (request.resumesStream() && route.get().kind() == RequestKind.STREAMING) {
+			resume(plan, responder);
+		}
+		else {
+			new RequestFlow(this.context, plan, responder).start();
+		}
+	}
+
+	// Events of two software versions do not fit together, so a stream of an unknown
+	// version is not resumed.
+	private void resume(RequestPlan plan, Responder responder) {
+		AtomicBoolean callerGone = new AtomicBoolean();
+		responder.onCallerDisconnected(() -> callerGone.set(true));
+		this.context.streamOrigins().find(plan.request().resumedRequest(), plan.service(), (origin, source) -> {
+			this.context.log()
+				.request(EventCode.STREAM_ORIGIN_SOUGHT, plan.request().id(), "resumes",
+						plan.request().resumedRequest().orElse("none"), "software",
+						origin.map(StreamOrigin::softwareVersion).orElse("unknown"), "by", source, "took_ms",
+						this.context.loop().nowMs() - plan.arrivedMs());
+			if (callerGone.get()) {
+				this.context.log().request(EventCode.CALLER_GONE, plan.request().id(), "sends", 0);
+				this.context.metrics().onRequestEnded("caller_gone", this.context.loop().nowMs() - plan.arrivedMs());
+			}
+			else if (origin.filter((begun) -> plan.route().leadsTo(begun.service())).isEmpty()) {
+				decline(responder, plan.request().id(), CallerResponses.notRun(RetryAfterPolicy.UNREACHABLE_MS),
+						origin.isEmpty() ? "the software version that began the stream is unknown"
+								: "the route no longer leads to the service that began the stream");
+			}
+			else {
+				new RequestFlow(this.context, plan.resumedAt(origin.get()), responder).start();
+			}
+		});
 	}
 
 	private void decline(Responder responder, String id, HttpResponse head, String reason) {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -14,6 +14,7 @@
 import org.tallycart.core.serving.SendOptions;
 import org.tallycart.core.serving.UpstreamReply;
 import org.tallycart.core.serving.Workspace;
+import org.tallycart.core.stream.StreamOrigin;
 import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
 import org.tallycart.http.event.ReplyEnd;
@@ -113,7 +114,7 @@
 			return;
 		}
 		if (this.retryAfter.acceptsInMs() > this.stages.expectedMs()) {
-			fail("all upstreams of the service are in backoff or draining");
+			fail(this.retryAfter.unavailableReason());
 			return;
 		}
 		long latenessMs = this.stages.expectedLatenessMs(this.plan.firstEventDeadlineMs());
@@ -210,7 +211,7 @@
 	@Override
 	public void onNoUpstream() {
 		if (this.retryAfter.acceptsInMs() > 0) {
-			fail("all upstreams of the service are in backoff or draining");
+			fail(this.retryAfter.unavailableReason());
 			return;
 		}
 		long nextPermitInMs = this.picker.nextPermitInMs();
@@ -256,6 +257,9 @@
 		if (!this.streaming) {
 			this.streaming = true;
 			this.candidates.requireVersion(begunAttempt.softwareVersion());
+			this.context.streamOrigins()
+				.onBegun(this.plan.streamId(), new StreamOrigin(this.plan.service(), begunAttempt.softwareVersion()),
+						this.plan.deadlineMs() - now());
 			this.responder.begin(CallerResponses.forwarded(head));
 		}
 	}
--- a/node/src/main/java/org/tallycart/node/request/RequestPlan.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestPlan.java
@@ -8,6 +8,7 @@
 import org.tallycart.core.serving.RequestPriority;
 import org.tallycart.core.serving.Route;
 import org.tallycart.core.serving.Workspace;
+import org.tallycart.core.stream.StreamOrigin;
 
 /**
  * Decisions made when a request arrives, based on one version of the configuration.
@@ -25,6 +26,24 @@
 public record RequestPlan(CallerRequest request, Fingerprint fingerprint, Route route, String service,
 		Optional<String> softwareVersion, Optional<Workspace> workspace, long arrivedMs, long deadlineMs) {
 
+	/**
+	 * Return this plan for a stream that goes on where it began.
+	 * @param origin where the stream began
+	 * @return the plan
+	 */
+	RequestPlan resumedAt(StreamOrigin origin) {
+		return new RequestPlan(this.request, this.fingerprint, this.route, origin.service(),
+				Optional.of(origin.softwareVersion()), this.workspace, this.arrivedMs, this.deadlineMs);
+	}
+
+	/**
+	 * Return the id by which callers name the stream when they resume it.
+	 * @return the id of the request that began it
+	 */
+	String streamId() {
+		return this.request.resumedRequest().orElse(this.request.id());
+	}
+
 	Suspect asSuspect(long sentMs) {
 		return new Suspect(this.fingerprint, this.request.id(), sentMs);
 	}
--- a/node/src/main/java/org/tallycart/node/request/RetryAfterPolicy.java
+++ b/node/src/main/java/org/tallycart/node/request/RetryAfterPolicy.java
@@ -46,6 +46,16 @@
 		return this.candidates.acceptsInMs();
 	}
 
+	/**
+	 * Return why no upstream accepts the request.
+	 * @return the reason
+	 */
+	String unavailableReason() {
+		return this.plan.softwareVersion()
+			.map((version) -> "no upstream of software version " + version + ", which began the stream, is available")
+			.orElse("all upstreams of the service are in backoff or draining");
+	}
+
 	/**
 	 * Return the delay for failures that have no delay of their own.
 	 * @return milliseconds
--- a/node/src/main/java/org/tallycart/node/request/ServingContext.java
+++ b/node/src/main/java/org/tallycart/node/request/ServingContext.java
@@ -11,6 +11,7 @@
 import org.tallycart.node.piece.PieceService;
 import org.tallycart.node.statement.PermitService;
 import org.tallycart.node.statement.UpstreamStatements;
+import org.tallycart.node.stream.StreamOriginService;
 
 /**
  * Dependencies shared by all requests of a process.
@@ -24,6 +25,7 @@
  * @param statements the statements of upstreams about themselves
  * @param permits grants permits for upstreams with a stated limit
  * @param pieces runs pieces of stages
+ * @param streamOrigins knows where streams began
  * @param retryBudgets limits retries
  * @param crashDetector detects upstreams that crash while they run requests
  * @param quarantine the requests that are not sent to any upstream
@@ -32,7 +34,7 @@
  */
 public record ServingContext(String failureDomain, EventLoop loop, NodeLog log, HttpCaller http,
 		UpstreamDirectory directory, ColdStartLimiter coldStartLimiter, UpstreamStatements statements,
-		PermitService permits, PieceService pieces, RetryBudgets retryBudgets, UpstreamCrashDetector crashDetector,
-		Quarantine quarantine, NodeMetrics metrics) {
+		PermitService permits, PieceService pieces, StreamOriginService streamOrigins, RetryBudgets retryBudgets,
+		UpstreamCrashDetector crashDetector, Quarantine quarantine, NodeMetrics metrics) {
 
 }
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -61,6 +61,12 @@
 	 */
 	private static final int RELAYS_PER_DOMAIN = 2;
 
+	/**
+	 * Age up to which the replicated contents of the store are up to date, in
+	 * milliseconds; covers the periods of the reader, the relays and the reviews.
+	 */
+	private static final long UP_TO_DATE_AGE_MS = 2_000;
+
 	/** Interval at which the source is reviewed, in milliseconds. */
 	private static final long REVIEW_INTERVAL_MS = 200;
 
@@ -110,6 +116,8 @@
 
 	private boolean probeFailed;
 
+	private long upToDateSinceMs = Long.MAX_VALUE;
+
 	private boolean relayLost;
 
 	private long lastProbeMs;
@@ -244,6 +252,7 @@
 				// The current source is kept.
 			}
 		}
+		updateAge(now);
 		if (readsStore()) {
 			probeIfDue(now);
 		}
@@ -253,6 +262,26 @@
 		}
 	}
 
+	private void updateAge(long now) {
+		boolean loaded = this.replicas.stream().allMatch(FeedReplica::isLoaded);
+		boolean upToDate = loaded && this.chooser.storeAgeMs(now) <= UP_TO_DATE_AGE_MS;
+		if (!upToDate) {
+			this.upToDateSinceMs = Long.MAX_VALUE;
+		}
+		else if (this.upToDateSinceMs > now) {
+			this.upToDateSinceMs = now;
+		}
+	}
+
+	/**
+	 * Return since when the replicated contents of the store have been up to date.
+	 * @return the time on the monotonic clock; {@link Long#MAX_VALUE} if they are not
+	 */
+	public long upToDateSinceMs() {
+		updateAge(this.loop.nowMs());
+		return this.upToDateSinceMs;
+	}
+
 	// Without a store and a relay, vanished entries are retained for a grace period.
 	private void onSourceProbed(boolean succeeded, long sentMs) {
 		if (succeeded) {
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -66,7 +66,7 @@
 				.peekLeft((problem) -> this.invalid.put(object.name(), problem));
 		}
 		Set<String> before = this.directory.ids();
-		this.invalid.keySet().forEach(this.directory::removeInvalid);
+		this.invalid.keySet().forEach((name) -> this.directory.removeInvalid(name, this.loop.nowMs()));
 		this.directory.replace(entries, this.loop.nowMs());
 		this.invalid.forEach((name, problem) -> reportInvalid(name, previous.get(name), problem));
 		logListed(entries.stream().filter((entry) -> !before.contains(entry.id())).toList());
@@ -94,7 +94,7 @@
 			}
 			this.directory.put(entry, this.loop.nowMs());
 		}).peekLeft((problem) -> {
-			this.directory.removeInvalid(object.name());
+			this.directory.removeInvalid(object.name(), this.loop.nowMs());
 			reportInvalid(object.name(), this.invalid.put(object.name(), problem), problem);
 		});
 	}
--- /dev/null
+++ b/node/src/main/java/org/tallycart/node/stream/StreamOriginService.java
@@ -0,0 +1,154 @@
+package org.tallycart.node.stream;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+import org.tallycart.core.stream.BegunStream;
+import org.tallycart.core.stream.ServedVersions;
+import org.tallycart.core.stream.StreamOrigin;
+import org.tallycart.core.stream.StreamOriginPeers;
+import org.tallycart.core.stream.StreamOriginRegistry;
+import org.tallycart.core.stream.StreamOriginRegistry.LookupSource;
+import org.tallycart.node.EventLoop;
+import org.tallycart.node.metrics.NodeMetrics;
+import org.tallycart.node.peer.PeerMesh;
+import org.tallycart.node.peer.PeerMessageHandler;
+import org.tallycart.wire.message.Envelope;
+import org.tallycart.wire.message.StreamOriginQuery;
+
+/**
+ * Exchanges with other VMs where streams began; {@link StreamOriginRegistry} decides.
+ * <p>
+ * Not thread-safe: confined to the event loop.
+ *
+ * @since 0.1
+ */
+public final class StreamOriginService implements PeerMessageHandler, StreamOriginPeers {
+
+	private final EventLoop loop;
+
+	private final NodeMetrics metrics;
+
+	private final ServedVersions versions;
+
+	private final StreamOriginRegistry registry;
+
+	private Optional<PeerMesh> mesh = Optional.empty();
+
+	/**
+	 * Create a service.
+	 * @param vm the name of this VM
+	 * @param loop the event loop
+	 * @param metrics the metrics of the process
+	 * @param versions the software versions that have served
+	 */
+	public StreamOriginService(String vm, EventLoop loop, NodeMetrics metrics, ServedVersions versions) {
+		this.loop = loop;
+		this.metrics = metrics;
+		this.versions = versions;
+		this.registry = new StreamOriginRegistry(vm, this, versions);
+	}
+
+	/**
+	 * Start to exchange messages with other VMs.
+	 * @param peers the other VMs
+	 */
+	public void start(PeerMesh peers) {
+		this.mesh = Optional.of(peers);
+		peers.onRecords(this.registry::updateVms);
+	}
+
+	/**
+	 * Record that a stream has begun, before its first event is passed on.
+	 * @param id the id of the caller's request
+	 * @param origin where it began
+	 * @param maxMs the longest time until its caller resumes it, in milliseconds
+	 */
+	public void onBegun(String id, StreamOrigin origin, long maxMs) {
+		this.registry.onBegun(id, origin, maxMs, this.loop.nowMs());
+	}
+
+	/**
+	 * Find where a stream began that a caller resumes.
+	 * @param id the id of the request that began it; empty if the caller does not name it
+	 * @param service the service that would serve the resumed stream
+	 * @param consumer receives the origin and how it was found, at once or later; empty
+	 * if the stream may have begun at any version
+	 */
+	public void find(Optional<String> id, String service, BiConsumer<Optional<StreamOrigin>, LookupSource> consumer) {
+		BiConsumer<Optional<StreamOrigin>, LookupSource> counting = (origin, source) -> {
+			this.metrics.onStreamResumed(source.name().toLowerCase(Locale.ROOT));
+			consumer.accept(origin, source);
+		};
+		long now = this.loop.nowMs();
+		if (id.isPresent()) {
+			this.registry.find(id.get(), service, now, counting);
+			this.loop.schedule(StreamOriginRegistry.LOOKUP_TIMEOUT_MS,
+					() -> this.registry.expireLookups(this.loop.nowMs()));
+			return;
+		}
+		this.versions.findOnlyVersion(service, now,
+				(version) -> counting.accept(version.map((only) -> new StreamOrigin(service, only)),
+						version.isPresent() ? LookupSource.ONLY_VERSION : LookupSource.NONE));
+	}
+
+	/** Expire state. Must be called several times a second. */
+	public void refresh() {
+		this.registry.tick(this.loop.nowMs());
+	}
+
+	/** Hand the origins that this VM keeps to other VMs, before a planned stop. */
+	public void handOver() {
+		this.registry.handOver(this.loop.nowMs());
+	}
+
+	/**
+	 * Return the number of streams whose origin this VM keeps.
+	 * @return the count
+	 */
+	public int size() {
+		return this.registry.size();
+	}
+
+	@Override
+	public void onMessage(String from, Envelope message) {
+		switch (message.getBodyCase()) {
+			case STREAM_ORIGINS ->
+				this.registry.onOrigins(StreamOriginCodec.decode(message.getStreamOrigins()), this.loop.nowMs());
+			case STREAM_ORIGIN_QUERY -> onQuery(from, message.getStreamOriginQuery());
+			case STREAM_ORIGIN_REPLY -> this.registry.onReply(from, message.getStreamOriginReply().getNumber(),
+					StreamOriginCodec.decode(message.getStreamOriginReply()), this.loop.nowMs());
+			default -> {
+				// Other messages are not for this service.
+			}
+		}
+	}
+
+	private void onQuery(String from, StreamOriginQuery query) {
+		this.registry.onQuery(from, query.getNumber(), query.getRequestId(), this.loop.nowMs());
+	}
+
+	@Override
+	public void onPeerFailed(String vm) {
+		// Lookups do not wait for a single VM.
+	}
+
+	@Override
+	public void sendOrigins(String vm, List<BegunStream> streams) {
+		this.metrics.onStreamOriginsSent(streams.size());
+		this.mesh.ifPresent((peers) -> peers.send(vm, StreamOriginCodec.encode(streams)));
+	}
+
+	@Override
+	public void sendQuery(String vm, long number, String id) {
+		this.mesh.ifPresent((peers) -> peers.send(vm, StreamOriginCodec.encodeQuery(number, id)));
+	}
+
+	@Override
+	public void sendReply(String vm, long number, Optional<StreamOrigin> origin) {
+		this.mesh.ifPresent((peers) -> peers.reply(vm, StreamOriginCodec.encodeReply(number, origin)));
+	}
+
+}
--- a/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
+++ b/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
@@ -133,7 +133,7 @@
 
 	// Guards against a stream that goes on at an engine of another version when its
 	// caller resumes it at another VM.
-	@Test(groups = "known-red")
+	@Test
 	void aStreamThatItsCallerResumesAtAnotherVmGoesOnAtTheVersionThatBeganIt() {
 		startSecondVersion();
 		List<String> streams = beginBrokenStreams(this.nodes.get(0));
@@ -143,7 +143,7 @@
 	}
 
 	// Guards against the version of a stream being known only at the VM that began it.
-	@Test(groups = "known-red")
+	@Test
 	void aStreamGoesOnAtItsVersionAfterTheLossOfTheVmThatBeganIt() {
 		startSecondVersion();
 		List<String> streams = beginBrokenStreams(this.nodes.get(0));
@@ -155,7 +155,7 @@
 
 	// Guards against a stream that goes on at another version since its own is gone, and
 	// against a caller that is kept waiting then.
-	@Test(groups = "known-red")
+	@Test
 	void aStreamWhoseVersionIsGoneIsRejected() {
 		startSecondVersion();
 		List<String> streams = beginBrokenStreams(this.nodes.get(0));
@@ -171,7 +171,7 @@
 	}
 
 	// Guards against a guess at the version of a stream that no VM knows.
-	@Test(groups = "known-red")
+	@Test
 	void aStreamOfAnUnknownVersionIsRejectedWhileSeveralVersionsServe() {
 		startSecondVersion();
 		for (Node node : this.nodes) {
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -189,6 +189,12 @@
 			"No upstream can be connected to from this VM; the detail holds how many were tried, how the last one failed, and for how long no upstream has sent a byte."),
 	/** Upstreams can be connected to again. */
 	UPSTREAM_LINKS_BACK(6040, Level.INFO, "An upstream can be connected to again from this VM."),
+	/** The origin of a resumed stream was looked up. */
+	STREAM_ORIGIN_SOUGHT(6041, Level.INFO,
+			"It was looked up where a stream began that its caller resumes; the detail holds the software version, how it was found, and how long that took."),
+	/** The software versions of a service have changed. */
+	SOFTWARE_VERSIONS(6042, Level.INFO,
+			"The software versions of a service that are listed have changed and are recorded in the platform's store, or the record could not be read."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
--- a/wire/src/main/java/org/tallycart/wire/message/Envelope.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Envelope.java
@@ -92,6 +92,9 @@
     RELAY_CALL(54),
     RELAY_CONTROL(55),
     RELAY_REPLY(56),
+    STREAM_ORIGINS(57),
+    STREAM_ORIGIN_QUERY(58),
+    STREAM_ORIGIN_REPLY(59),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -142,6 +145,9 @@
         case 54: return RELAY_CALL;
         case 55: return RELAY_CONTROL;
         case 56: return RELAY_REPLY;
+        case 57: return STREAM_ORIGINS;
+        case 58: return STREAM_ORIGIN_QUERY;
+        case 59: return STREAM_ORIGIN_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1271,6 +1277,99 @@
     return org.tallycart.wire.message.RelayReply.getDefaultInstance();
   }
 
+  public static final int STREAM_ORIGINS_FIELD_NUMBER = 57;
+  /**
+   * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+   * @return Whether the streamOrigins field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOrigins() {
+    return bodyCase_ == 57;
+  }
+  /**
+   * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+   * @return The streamOrigins.
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.StreamOrigins getStreamOrigins() {
+    if (bodyCase_ == 57) {
+       return (org.tallycart.wire.message.StreamOrigins) body_;
+    }
+    return org.tallycart.wire.message.StreamOrigins.getDefaultInstance();
+  }
+  /**
+   * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.StreamOriginsOrBuilder getStreamOriginsOrBuilder() {
+    if (bodyCase_ == 57) {
+       return (org.tallycart.wire.message.StreamOrigins) body_;
+    }
+    return org.tallycart.wire.message.StreamOrigins.getDefaultInstance();
+  }
+
+  public static final int STREAM_ORIGIN_QUERY_FIELD_NUMBER = 58;
+  /**
+   * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+   * @return Whether the streamOriginQuery field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOriginQuery() {
+    return bodyCase_ == 58;
+  }
+  /**
+   * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+   * @return The streamOriginQuery.
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.StreamOriginQuery getStreamOriginQuery() {
+    if (bodyCase_ == 58) {
+       return (org.tallycart.wire.message.StreamOriginQuery) body_;
+    }
+    return org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.StreamOriginQueryOrBuilder getStreamOriginQueryOrBuilder() {
+    if (bodyCase_ == 58) {
+       return (org.tallycart.wire.message.StreamOriginQuery) body_;
+    }
+    return org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance();
+  }
+
+  public static final int STREAM_ORIGIN_REPLY_FIELD_NUMBER = 59;
+  /**
+   * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+   * @return Whether the streamOriginReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamOriginReply() {
+    return bodyCase_ == 59;
+  }
+  /**
+   * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+   * @return The streamOriginReply.
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.StreamOriginReply getStreamOriginReply() {
+    if (bodyCase_ == 59) {
+       return (org.tallycart.wire.message.StreamOriginReply) body_;
+    }
+    return org.tallycart.wire.message.StreamOriginReply.getDefaultInstance();
+  }
+  /**
+   * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+   */
+  @java.lang.Override
+  public org.tallycart.wire.message.StreamOriginReplyOrBuilder getStreamOriginReplyOrBuilder() {
+    if (bodyCase_ == 59) {
+       return (org.tallycart.wire.message.StreamOriginReply) body_;
+    }
+    return org.tallycart.wire.message.StreamOriginReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1399,6 +1498,15 @@
     if (bodyCase_ == 56) {
       output.writeMessage(56, (org.tallycart.wire.message.RelayReply) body_);
     }
+    if (bodyCase_ == 57) {
+      output.writeMessage(57, (org.tallycart.wire.message.StreamOrigins) body_);
+    }
+    if (bodyCase_ == 58) {
+      output.writeMessage(58, (org.tallycart.wire.message.StreamOriginQuery) body_);
+    }
+    if (bodyCase_ == 59) {
+      output.writeMessage(59, (org.tallycart.wire.message.StreamOriginReply) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1558,6 +1666,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(56, (org.tallycart.wire.message.RelayReply) body_);
     }
+    if (bodyCase_ == 57) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(57, (org.tallycart.wire.message.StreamOrigins) body_);
+    }
+    if (bodyCase_ == 58) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(58, (org.tallycart.wire.message.StreamOriginQuery) body_);
+    }
+    if (bodyCase_ == 59) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(59, (org.tallycart.wire.message.StreamOriginReply) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -1727,6 +1847,18 @@
         if (!getRelayReply()
             .equals(other.getRelayReply())) return false;
         break;
+      case 57:
+        if (!getStreamOrigins()
+            .equals(other.getStreamOrigins())) return false;
+        break;
+      case 58:
+        if (!getStreamOriginQuery()
+            .equals(other.getStreamOriginQuery())) return false;
+        break;
+      case 59:
+        if (!getStreamOriginReply()
+            .equals(other.getStreamOriginReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -1888,6 +2020,18 @@
         hash = (37 * hash) + RELAY_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getRelayReply().hashCode();
         break;
+      case 57:
+        hash = (37 * hash) + STREAM_ORIGINS_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamOrigins().hashCode();
+        break;
+      case 58:
+        hash = (37 * hash) + STREAM_ORIGIN_QUERY_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamOriginQuery().hashCode();
+        break;
+      case 59:
+        hash = (37 * hash) + STREAM_ORIGIN_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamOriginReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -2131,6 +2275,15 @@
       if (relayReplyBuilder_ != null) {
         relayReplyBuilder_.clear();
       }
+      if (streamOriginsBuilder_ != null) {
+        streamOriginsBuilder_.clear();
+      }
+      if (streamOriginQueryBuilder_ != null) {
+        streamOriginQueryBuilder_.clear();
+      }
+      if (streamOriginReplyBuilder_ != null) {
+        streamOriginReplyBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -2324,6 +2477,18 @@
           relayReplyBuilder_ != null) {
         result.body_ = relayReplyBuilder_.build();
       }
+      if (bodyCase_ == 57 &&
+          streamOriginsBuilder_ != null) {
+        result.body_ = streamOriginsBuilder_.build();
+      }
+      if (bodyCase_ == 58 &&
+          streamOriginQueryBuilder_ != null) {
+        result.body_ = streamOriginQueryBuilder_.build();
+      }
+      if (bodyCase_ == 59 &&
+          streamOriginReplyBuilder_ != null) {
+        result.body_ = streamOriginReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -2488,6 +2653,18 @@
           mergeRelayReply(other.getRelayReply());
           break;
         }
+        case STREAM_ORIGINS: {
+          mergeStreamOrigins(other.getStreamOrigins());
+          break;
+        }
+        case STREAM_ORIGIN_QUERY: {
+          mergeStreamOriginQuery(other.getStreamOriginQuery());
+          break;
+        }
+        case STREAM_ORIGIN_REPLY: {
+          mergeStreamOriginReply(other.getStreamOriginReply());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -2772,6 +2949,27 @@
               bodyCase_ = 56;
               break;
             } // case 450
+            case 458: {
+              input.readMessage(
+                  internalGetStreamOriginsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 57;
+              break;
+            } // case 458
+            case 466: {
+              input.readMessage(
+                  internalGetStreamOriginQueryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 58;
+              break;
+            } // case 466
+            case 474: {
+              input.readMessage(
+                  internalGetStreamOriginReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 59;
+              break;
+            } // case 474
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7649,6 +7847,426 @@
       return relayReplyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.StreamOrigins, org.tallycart.wire.message.StreamOrigins.Builder, org.tallycart.wire.message.StreamOriginsOrBuilder> streamOriginsBuilder_;
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     * @return Whether the streamOrigins field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOrigins() {
+      return bodyCase_ == 57;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     * @return The streamOrigins.
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.StreamOrigins getStreamOrigins() {
+      if (streamOriginsBuilder_ == null) {
+        if (bodyCase_ == 57) {
+          return (org.tallycart.wire.message.StreamOrigins) body_;
+        }
+        return org.tallycart.wire.message.StreamOrigins.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 57) {
+          return streamOriginsBuilder_.getMessage();
+        }
+        return org.tallycart.wire.message.StreamOrigins.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    public Builder setStreamOrigins(org.tallycart.wire.message.StreamOrigins value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 57;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    public Builder setStreamOrigins(
+        org.tallycart.wire.message.StreamOrigins.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 57;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    public Builder mergeStreamOrigins(org.tallycart.wire.message.StreamOrigins value) {
+      if (streamOriginsBuilder_ == null) {
+        if (bodyCase_ == 57 &&
+            body_ != org.tallycart.wire.message.StreamOrigins.getDefaultInstance()) {
+          body_ = org.tallycart.wire.message.StreamOrigins.newBuilder((org.tallycart.wire.message.StreamOrigins) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 57) {
+          streamOriginsBuilder_.mergeFrom(value);
+        } else {
+          streamOriginsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 57;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    public Builder clearStreamOrigins() {
+      if (streamOriginsBuilder_ == null) {
+        if (bodyCase_ == 57) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 57) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        streamOriginsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    public org.tallycart.wire.message.StreamOrigins.Builder getStreamOriginsBuilder() {
+      return internalGetStreamOriginsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.StreamOriginsOrBuilder getStreamOriginsOrBuilder() {
+      if ((bodyCase_ == 57) && (streamOriginsBuilder_ != null)) {
+        return streamOriginsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 57) {
+          return (org.tallycart.wire.message.StreamOrigins) body_;
+        }
+        return org.tallycart.wire.message.StreamOrigins.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.StreamOrigins, org.tallycart.wire.message.StreamOrigins.Builder, org.tallycart.wire.message.StreamOriginsOrBuilder> 
+        internalGetStreamOriginsFieldBuilder() {
+      if (streamOriginsBuilder_ == null) {
+        if (!(bodyCase_ == 57)) {
+          body_ = org.tallycart.wire.message.StreamOrigins.getDefaultInstance();
+        }
+        streamOriginsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tallycart.wire.message.StreamOrigins, org.tallycart.wire.message.StreamOrigins.Builder, org.tallycart.wire.message.StreamOriginsOrBuilder>(
+                (org.tallycart.wire.message.StreamOrigins) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 57;
+      onChanged();
+      return streamOriginsBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.StreamOriginQuery, org.tallycart.wire.message.StreamOriginQuery.Builder, org.tallycart.wire.message.StreamOriginQueryOrBuilder> streamOriginQueryBuilder_;
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     * @return Whether the streamOriginQuery field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOriginQuery() {
+      return bodyCase_ == 58;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     * @return The streamOriginQuery.
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.StreamOriginQuery getStreamOriginQuery() {
+      if (streamOriginQueryBuilder_ == null) {
+        if (bodyCase_ == 58) {
+          return (org.tallycart.wire.message.StreamOriginQuery) body_;
+        }
+        return org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 58) {
+          return streamOriginQueryBuilder_.getMessage();
+        }
+        return org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    public Builder setStreamOriginQuery(org.tallycart.wire.message.StreamOriginQuery value) {
+      if (streamOriginQueryBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        streamOriginQueryBuilder_.setMessage(value);
+      }
+      bodyCase_ = 58;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    public Builder setStreamOriginQuery(
+        org.tallycart.wire.message.StreamOriginQuery.Builder builderForValue) {
+      if (streamOriginQueryBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamOriginQueryBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 58;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    public Builder mergeStreamOriginQuery(org.tallycart.wire.message.StreamOriginQuery value) {
+      if (streamOriginQueryBuilder_ == null) {
+        if (bodyCase_ == 58 &&
+            body_ != org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance()) {
+          body_ = org.tallycart.wire.message.StreamOriginQuery.newBuilder((org.tallycart.wire.message.StreamOriginQuery) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 58) {
+          streamOriginQueryBuilder_.mergeFrom(value);
+        } else {
+          streamOriginQueryBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 58;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    public Builder clearStreamOriginQuery() {
+      if (streamOriginQueryBuilder_ == null) {
+        if (bodyCase_ == 58) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 58) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        streamOriginQueryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    public org.tallycart.wire.message.StreamOriginQuery.Builder getStreamOriginQueryBuilder() {
+      return internalGetStreamOriginQueryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.StreamOriginQueryOrBuilder getStreamOriginQueryOrBuilder() {
+      if ((bodyCase_ == 58) && (streamOriginQueryBuilder_ != null)) {
+        return streamOriginQueryBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 58) {
+          return (org.tallycart.wire.message.StreamOriginQuery) body_;
+        }
+        return org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.StreamOriginQuery, org.tallycart.wire.message.StreamOriginQuery.Builder, org.tallycart.wire.message.StreamOriginQueryOrBuilder> 
+        internalGetStreamOriginQueryFieldBuilder() {
+      if (streamOriginQueryBuilder_ == null) {
+        if (!(bodyCase_ == 58)) {
+          body_ = org.tallycart.wire.message.StreamOriginQuery.getDefaultInstance();
+        }
+        streamOriginQueryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tallycart.wire.message.StreamOriginQuery, org.tallycart.wire.message.StreamOriginQuery.Builder, org.tallycart.wire.message.StreamOriginQueryOrBuilder>(
+                (org.tallycart.wire.message.StreamOriginQuery) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 58;
+      onChanged();
+      return streamOriginQueryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.StreamOriginReply, org.tallycart.wire.message.StreamOriginReply.Builder, org.tallycart.wire.message.StreamOriginReplyOrBuilder> streamOriginReplyBuilder_;
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     * @return Whether the streamOriginReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamOriginReply() {
+      return bodyCase_ == 59;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     * @return The streamOriginReply.
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.StreamOriginReply getStreamOriginReply() {
+      if (streamOriginReplyBuilder_ == null) {
+        if (bodyCase_ == 59) {
+          return (org.tallycart.wire.message.StreamOriginReply) body_;
+        }
+        return org.tallycart.wire.message.StreamOriginReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 59) {
+          return streamOriginReplyBuilder_.getMessage();
+        }
+        return org.tallycart.wire.message.StreamOriginReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    public Builder setStreamOriginReply(org.tallycart.wire.message.StreamOriginReply value) {
+      if (streamOriginReplyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        streamOriginReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 59;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    public Builder setStreamOriginReply(
+        org.tallycart.wire.message.StreamOriginReply.Builder builderForValue) {
+      if (streamOriginReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamOriginReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 59;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    public Builder mergeStreamOriginReply(org.tallycart.wire.message.StreamOriginReply value) {
+      if (streamOriginReplyBuilder_ == null) {
+        if (bodyCase_ == 59 &&
+            body_ != org.tallycart.wire.message.StreamOriginReply.getDefaultInstance()) {
+          body_ = org.tallycart.wire.message.StreamOriginReply.newBuilder((org.tallycart.wire.message.StreamOriginReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 59) {
+          streamOriginReplyBuilder_.mergeFrom(value);
+        } else {
+          streamOriginReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 59;
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    public Builder clearStreamOriginReply() {
+      if (streamOriginReplyBuilder_ == null) {
+        if (bodyCase_ == 59) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 59) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        streamOriginReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    public org.tallycart.wire.message.StreamOriginReply.Builder getStreamOriginReplyBuilder() {
+      return internalGetStreamOriginReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    @java.lang.Override
+    public org.tallycart.wire.message.StreamOriginReplyOrBuilder getStreamOriginReplyOrBuilder() {
+      if ((bodyCase_ == 59) && (streamOriginReplyBuilder_ != null)) {
+        return streamOriginReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 59) {
+          return (org.tallycart.wire.message.StreamOriginReply) body_;
+        }
+        return org.tallycart.wire.message.StreamOriginReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.tallycart.wire.message.StreamOriginReply, org.tallycart.wire.message.StreamOriginReply.Builder, org.tallycart.wire.message.StreamOriginReplyOrBuilder> 
+        internalGetStreamOriginReplyFieldBuilder() {
+      if (streamOriginReplyBuilder_ == null) {
+        if (!(bodyCase_ == 59)) {
+          body_ = org.tallycart.wire.message.StreamOriginReply.getDefaultInstance();
+        }
+        streamOriginReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.tallycart.wire.message.StreamOriginReply, org.tallycart.wire.message.StreamOriginReply.Builder, org.tallycart.wire.message.StreamOriginReplyOrBuilder>(
+                (org.tallycart.wire.message.StreamOriginReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 59;
+      onChanged();
+      return streamOriginReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:tallycart.wire.Envelope)
   }
 
--- a/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/org/tallycart/wire/message/EnvelopeOrBuilder.java
@@ -549,5 +549,50 @@
    */
   org.tallycart.wire.message.RelayReplyOrBuilder getRelayReplyOrBuilder();
 
+  /**
+   * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+   * @return Whether the streamOrigins field is set.
+   */
+  boolean hasStreamOrigins();
+  /**
+   * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+   * @return The streamOrigins.
+   */
+  org.tallycart.wire.message.StreamOrigins getStreamOrigins();
+  /**
+   * <code>.tallycart.wire.StreamOrigins stream_origins = 57;</code>
+   */
+  org.tallycart.wire.message.StreamOriginsOrBuilder getStreamOriginsOrBuilder();
+
+  /**
+   * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+   * @return Whether the streamOriginQuery field is set.
+   */
+  boolean hasStreamOriginQuery();
+  /**
+   * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+   * @return The streamOriginQuery.
+   */
+  org.tallycart.wire.message.StreamOriginQuery getStreamOriginQuery();
+  /**
+   * <code>.tallycart.wire.StreamOriginQuery stream_origin_query = 58;</code>
+   */
+  org.tallycart.wire.message.StreamOriginQueryOrBuilder getStreamOriginQueryOrBuilder();
+
+  /**
+   * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+   * @return Whether the streamOriginReply field is set.
+   */
+  boolean hasStreamOriginReply();
+  /**
+   * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+   * @return The streamOriginReply.
+   */
+  org.tallycart.wire.message.StreamOriginReply getStreamOriginReply();
+  /**
+   * <code>.tallycart.wire.StreamOriginReply stream_origin_reply = 59;</code>
+   */
+  org.tallycart.wire.message.StreamOriginReplyOrBuilder getStreamOriginReplyOrBuilder();
+
   org.tallycart.wire.message.Envelope.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/tallycart/wire/message/Wire.java
+++ b/wire/src/main/java/org/tallycart/wire/message/Wire.java
@@ -311,6 +311,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_tallycart_wire_RelayReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_StreamOrigin_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_StreamOrigin_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_StreamOrigins_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_StreamOrigins_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_StreamOriginQuery_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_StreamOriginQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_tallycart_wire_StreamOriginReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_tallycart_wire_StreamOriginReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -320,7 +340,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\016tallycart.wire\"\272\016\n\010Envelop" +
+      "\n\nwire.proto\022\016tallycart.wire\"\367\017\n\010Envelop" +
       "e\022\023\n\013correlation\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\r\n" +
       "\005clock\030\003 \001(\006\022\021\n\tsender_vm\030\004 \001(\t\022\032\n\022sende" +
       "r_incarnation\030\005 \001(\004\022.\n\theartbeat\030\n \001(\0132\031" +
@@ -366,142 +386,154 @@
       "\n\nrelay_call\0306 \001(\0132\031.tallycart.wire.Rela" +
       "yCallH\000\0225\n\rrelay_control\0307 \001(\0132\034.tallyca" +
       "rt.wire.RelayControlH\000\0221\n\013relay_reply\0308 " +
-      "\001(\0132\032.tallycart.wire.RelayReplyH\000B\006\n\004bod" +
-      "y\"\'\n\003Ack\022\020\n\010accepted\030\001 \001(\010\022\016\n\006detail\030\002 \001" +
-      "(\t\"0\n\017RegisterVersion\022\014\n\004name\030\001 \001(\t\022\017\n\007v" +
-      "ersion\030\002 \001(\004\"N\n\tPeerBrief\022\n\n\002vm\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\004\022\020\n\010draining\030\003 \001(\010\022\016\n\006" +
-      "age_ms\030\004 \001(\r\"\223\001\n\tHeartbeat\022\020\n\010draining\030\001" +
-      " \001(\010\0222\n\tregisters\030\002 \003(\0132\037.tallycart.wire" +
-      ".RegisterVersion\022\026\n\016leaving_digest\030\003 \001(\006" +
-      "\022(\n\005peers\030\004 \003(\0132\031.tallycart.wire.PeerBri" +
-      "ef\"<\n\013PullRequest\022-\n\004have\030\001 \003(\0132\037.tallyc" +
-      "art.wire.RegisterVersion\"=\n\rRegisterValu" +
-      "e\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005valu" +
-      "e\030\003 \001(\014\":\n\tPullReply\022-\n\006values\030\001 \003(\0132\035.t" +
-      "allycart.wire.RegisterValue\"\036\n\013BlobReque" +
-      "st\022\017\n\007digests\030\001 \003(\t\"%\n\004Blob\022\016\n\006digest\030\001 " +
-      "\001(\t\022\r\n\005value\030\002 \001(\014\"0\n\tBlobReply\022#\n\005blobs" +
-      "\030\001 \003(\0132\024.tallycart.wire.Blob\"\"\n\rLeavingN" +
-      "otice\022\021\n\tupstreams\030\001 \003(\t\"*\n\010Claimant\022\n\n\002" +
-      "vm\030\001 \001(\t\022\022\n\nattempt_id\030\002 \001(\t\"X\n\tClaimCal" +
-      "l\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tally" +
-      "cart.wire.Claimant\022\022\n\nknown_term\030\003 \001(\004\"\351" +
-      "\001\n\013ClaimAnswer\0222\n\006status\030\001 \001(\0162\".tallyca" +
-      "rt.wire.ClaimAnswer.Status\022\014\n\004term\030\002 \001(\004" +
-      "\022(\n\006holder\030\003 \001(\0132\030.tallycart.wire.Claima" +
-      "nt\022\016\n\006result\030\004 \001(\014\"^\n\006Status\022\r\n\tNOT_OWNE" +
-      "R\020\000\022\013\n\007GRANTED\020\001\022\010\n\004HELD\020\002\022\014\n\010FINISHED\020\003" +
-      "\022\023\n\017BEFORE_TAKEOVER\020\004\022\013\n\007EXPIRED\020\005\"V\n\013Cl" +
-      "aimFinish\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\013" +
-      "2\030.tallycart.wire.Claimant\022\016\n\006result\030\003 \001" +
-      "(\014\"G\n\014ClaimRelease\022\013\n\003key\030\001 \001(\t\022*\n\010claim" +
-      "ant\030\002 \001(\0132\030.tallycart.wire.Claimant\"e\n\nC" +
-      "laimEntry\022\013\n\003key\030\001 \001(\t\022(\n\006holder\030\002 \001(\0132\030" +
-      ".tallycart.wire.Claimant\022\016\n\006result\030\003 \001(\014" +
-      "\022\020\n\010finished\030\004 \001(\010\"m\n\nSlotClaims\022\014\n\004slot" +
-      "\030\001 \001(\r\022\014\n\004term\030\002 \001(\004\022\027\n\017refuse_until_ms\030" +
-      "\003 \001(\022\022*\n\006claims\030\004 \003(\0132\032.tallycart.wire.C" +
-      "laimEntry\"K\n\014HandoverCall\022)\n\005slots\030\001 \003(\013" +
-      "2\032.tallycart.wire.SlotClaims\022\020\n\010sequence" +
-      "\030\002 \001(\004\"\013\n\tSubscribe\"\362\001\n\013StateUpdate\022\026\n\016c" +
-      "onfig_version\030\001 \001(\004\022#\n\005parts\030\002 \003(\0132\024.tal" +
-      "lycart.wire.Blob\022*\n\tpart_refs\030\003 \003(\0132\027.ta" +
-      "llycart.wire.PartRef\022\025\n\rslots_version\030\004 " +
-      "\001(\004\022\r\n\005slots\030\005 \001(\t\022\023\n\013vms_version\030\006 \001(\004\022" +
-      "\013\n\003vms\030\007 \001(\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nactive_" +
-      "vms\030\t \001(\r\022\r\n\005ready\030\n \001(\010\"\'\n\007PartRef\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\"o\n\013ShareDemand" +
-      "\022\021\n\tworkspace\030\001 \001(\t\022\031\n\021demand_per_second" +
-      "\030\002 \001(\001\022\030\n\020limit_per_second\030\003 \001(\001\022\030\n\020hold" +
-      "s_per_second\030\004 \001(\001\";\n\013ShareReport\022,\n\007dem" +
-      "ands\030\001 \003(\0132\033.tallycart.wire.ShareDemand\"" +
-      "8\n\nShareGrant\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate" +
-      "_per_second\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006gran" +
-      "ts\030\001 \003(\0132\032.tallycart.wire.ShareGrant\"b\n\014" +
-      "FeedRevision\022\"\n\004feed\030\001 \001(\0162\024.tallycart.w" +
-      "ire.Feed\022\020\n\010revision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\022" +
-      "\017\n\007overdue\030\004 \001(\010\"\226\001\n\010NodeBeat\022\016\n\006answer\030" +
-      "\001 \001(\010\022\020\n\010draining\030\002 \001(\010\022\022\n\nsubscribes\030\003 " +
-      "\001(\010\022+\n\005known\030\004 \003(\0132\034.tallycart.wire.Feed" +
-      "Revision\022\021\n\tpasses_on\030\005 \001(\010\022\024\n\014store_age" +
-      "_ms\030\006 \001(\r\"K\n\nFeedObject\022\014\n\004name\030\001 \001(\t\022\020\n" +
-      "\010revision\030\002 \001(\003\022\017\n\007content\030\003 \001(\t\022\014\n\004gone" +
-      "\030\004 \001(\010\"\311\001\n\nFeedUpdate\022\"\n\004feed\030\001 \001(\0162\024.ta" +
-      "llycart.wire.Feed\022\r\n\005whole\030\002 \001(\010\022\025\n\rfrom" +
-      "_revision\030\003 \001(\003\022\020\n\010revision\030\004 \001(\003\022\024\n\014unt" +
-      "rusted_ms\030\005 \001(\r\022+\n\007objects\030\006 \003(\0132\032.tally" +
-      "cart.wire.FeedObject\022\013\n\003era\030\007 \001(\003\022\017\n\007kep" +
-      "t_ms\030\010 \001(\r\"\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 " +
-      "\001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007ser" +
-      "vice\030\004 \001(\t\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022" +
-      "\026\n\016deadline_in_ms\030\007 \001(\021\022\027\n\017objective_in_" +
-      "ms\030\010 \001(\021\022\020\n\010priority\030\t \001(\r\022\026\n\016failure_do" +
-      "main\030\n \001(\t\022\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014resul" +
-      "t_bytes\030\014 \001(\004\022\020\n\010together\030\r \001(\010\022\023\n\013finge" +
-      "rprint\030\016 \001(\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132" +
-      "\030.tallycart.wire.PieceAsk\"\223\002\n\013PieceAnswe" +
-      "r\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005" +
-      "piece\030\003 \001(\r\0222\n\006status\030\004 \001(\0162\".tallycart." +
-      "wire.PieceAnswer.Status\022\016\n\006handle\030\005 \001(\t\022" +
-      "\026\n\016retry_after_ms\030\006 \001(\004\"v\n\006Status\022\010\n\004MAD" +
-      "E\020\000\022\010\n\004LATE\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM" +
-      "\020\003\022\n\n\006FAILED\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013HANDE" +
-      "D_BACK\020\006\022\r\n\tNO_WORKER\020\007\"<\n\014PieceAnswers\022" +
-      ",\n\007answers\030\001 \003(\0132\033.tallycart.wire.PieceA" +
-      "nswer\"T\n\017PieceWithdrawal\022\017\n\007service\030\001 \001(" +
-      "\t\022\022\n\nrequest_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005" +
-      "piece\030\004 \001(\r\"H\n\020PieceWithdrawals\0224\n\013withd" +
-      "rawals\030\001 \003(\0132\037.tallycart.wire.PieceWithd" +
-      "rawal\"0\n\014PieceRelease\022\017\n\007service\030\001 \001(\t\022\017" +
-      "\n\007handles\030\002 \003(\t\"?\n\rPieceReleases\022.\n\010rele" +
-      "ases\030\001 \003(\0132\034.tallycart.wire.PieceRelease" +
-      "\"L\n\014CrashSuspect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n" +
-      "\nrequest_id\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h" +
-      "\n\013CrashReport\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014en" +
-      "ded_ago_ms\030\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tal" +
-      "lycart.wire.CrashSuspect\"$\n\014CrashCleared" +
-      "\022\024\n\014fingerprints\030\001 \003(\t\":\n\rCrashQuestion\022" +
-      "\023\n\013fingerprint\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001" +
-      "(\r\"?\n\022QuarantinedRequest\022\023\n\013fingerprint\030" +
-      "\001 \001(\t\022\024\n\014remaining_ms\030\002 \001(\r\"H\n\020Quarantin" +
-      "eNotice\0224\n\010requests\030\001 \003(\0132\".tallycart.wi" +
-      "re.QuarantinedRequest\"W\n\rUpstreamLimit\022\023" +
-      "\n\013incarnation\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\n" +
-      "per_second\030\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017Statem" +
-      "entNotice\022-\n\006limits\030\001 \003(\0132\035.tallycart.wi" +
-      "re.UpstreamLimit\022\017\n\007leaving\030\002 \003(\t\"]\n\010Lim" +
-      "itAsk\022\016\n\006number\030\001 \001(\004\022,\n\005limit\030\002 \001(\0132\035.t" +
-      "allycart.wire.UpstreamLimit\022\023\n\013patience_" +
-      "ms\030\003 \001(\r\"m\n\013LimitAnswer\022\016\n\006number\030\001 \001(\004\022" +
-      "\017\n\007granted\030\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022,\n\005lim" +
-      "it\030\004 \001(\0132\035.tallycart.wire.UpstreamLimit\"" +
-      "-\n\nRelayOffer\022\016\n\006answer\030\001 \001(\010\022\017\n\007accepts" +
-      "\030\002 \001(\010\")\n\nRelayField\022\014\n\004name\030\001 \001(\t\022\r\n\005va" +
-      "lue\030\002 \001(\t\"\336\001\n\tRelayCall\022\016\n\006number\030\001 \001(\004\022" +
-      "\027\n\017connection_pool\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014" +
-      "\n\004port\030\004 \001(\r\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 \001" +
-      "(\t\022*\n\006fields\030\007 \003(\0132\032.tallycart.wire.Rela" +
-      "yField\022\014\n\004body\030\010 \001(\014\022\032\n\022connect_timeout_" +
-      "ms\030\t \001(\r\022\030\n\020reuse_connection\030\n \001(\010\"\200\001\n\014R" +
-      "elayControl\022\016\n\006number\030\001 \001(\004\0223\n\006action\030\002 " +
-      "\001(\0162#.tallycart.wire.RelayControl.Action" +
-      "\"+\n\006Action\022\n\n\006CANCEL\020\000\022\t\n\005PAUSE\020\001\022\n\n\006RES" +
-      "UME\020\002\"G\n\tRelayHead\022\016\n\006status\030\001 \001(\r\022*\n\006fi" +
-      "elds\030\002 \003(\0132\032.tallycart.wire.RelayField\"\032" +
-      "\n\010RelayEnd\022\016\n\006framed\030\001 \001(\010\"\223\001\n\014RelayFail" +
-      "ure\022/\n\004kind\030\001 \001(\0162!.tallycart.wire.Relay" +
-      "Failure.Kind\022\014\n\004sent\030\002 \001(\010\022\016\n\006detail\030\003 \001" +
-      "(\t\"4\n\004Kind\022\021\n\rNOT_CONNECTED\020\000\022\n\n\006CLOSED\020" +
-      "\001\022\r\n\tMALFORMED\020\002\"\271\001\n\nRelayReply\022\016\n\006numbe" +
-      "r\030\001 \001(\004\022)\n\004head\030\002 \001(\0132\031.tallycart.wire.R" +
-      "elayHeadH\000\022\016\n\004body\030\003 \001(\014H\000\022\'\n\003end\030\004 \001(\0132" +
-      "\030.tallycart.wire.RelayEndH\000\022/\n\007failure\030\005" +
-      " \001(\0132\034.tallycart.wire.RelayFailureH\000B\006\n\004" +
-      "part*R\n\004Feed\022\021\n\rCONFIGURATION\020\000\022\r\n\tUPSTR" +
-      "EAMS\020\001\022\007\n\003VMS\020\002\022\017\n\013EVACUATIONS\020\003\022\016\n\nQUAR" +
-      "ANTINE\020\004B\036\n\032org.tallycart.wire.messageP\001" +
-      "b\006proto3"
+      "\001(\0132\032.tallycart.wire.RelayReplyH\000\0227\n\016str" +
+      "eam_origins\0309 \001(\0132\035.tallycart.wire.Strea" +
+      "mOriginsH\000\022@\n\023stream_origin_query\030: \001(\0132" +
+      "!.tallycart.wire.StreamOriginQueryH\000\022@\n\023" +
+      "stream_origin_reply\030; \001(\0132!.tallycart.wi" +
+      "re.StreamOriginReplyH\000B\006\n\004body\"\'\n\003Ack\022\020\n" +
+      "\010accepted\030\001 \001(\010\022\016\n\006detail\030\002 \001(\t\"0\n\017Regis" +
+      "terVersion\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(" +
+      "\004\"N\n\tPeerBrief\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnatio" +
+      "n\030\002 \001(\004\022\020\n\010draining\030\003 \001(\010\022\016\n\006age_ms\030\004 \001(" +
+      "\r\"\223\001\n\tHeartbeat\022\020\n\010draining\030\001 \001(\010\0222\n\treg" +
+      "isters\030\002 \003(\0132\037.tallycart.wire.RegisterVe" +
+      "rsion\022\026\n\016leaving_digest\030\003 \001(\006\022(\n\005peers\030\004" +
+      " \003(\0132\031.tallycart.wire.PeerBrief\"<\n\013PullR" +
+      "equest\022-\n\004have\030\001 \003(\0132\037.tallycart.wire.Re" +
+      "gisterVersion\"=\n\rRegisterValue\022\014\n\004name\030\001" +
+      " \001(\t\022\017\n\007version\030\002 \001(\004\022\r\n\005value\030\003 \001(\014\":\n\t" +
+      "PullReply\022-\n\006values\030\001 \003(\0132\035.tallycart.wi" +
+      "re.RegisterValue\"\036\n\013BlobRequest\022\017\n\007diges" +
+      "ts\030\001 \003(\t\"%\n\004Blob\022\016\n\006digest\030\001 \001(\t\022\r\n\005valu" +
+      "e\030\002 \001(\014\"0\n\tBlobReply\022#\n\005blobs\030\001 \003(\0132\024.ta" +
+      "llycart.wire.Blob\"\"\n\rLeavingNotice\022\021\n\tup" +
+      "streams\030\001 \003(\t\"*\n\010Claimant\022\n\n\002vm\030\001 \001(\t\022\022\n" +
+      "\nattempt_id\030\002 \001(\t\"X\n\tClaimCall\022\013\n\003key\030\001 " +
+      "\001(\t\022*\n\010claimant\030\002 \001(\0132\030.tallycart.wire.C" +
+      "laimant\022\022\n\nknown_term\030\003 \001(\004\"\351\001\n\013ClaimAns" +
+      "wer\0222\n\006status\030\001 \001(\0162\".tallycart.wire.Cla" +
+      "imAnswer.Status\022\014\n\004term\030\002 \001(\004\022(\n\006holder\030" +
+      "\003 \001(\0132\030.tallycart.wire.Claimant\022\016\n\006resul" +
+      "t\030\004 \001(\014\"^\n\006Status\022\r\n\tNOT_OWNER\020\000\022\013\n\007GRAN" +
+      "TED\020\001\022\010\n\004HELD\020\002\022\014\n\010FINISHED\020\003\022\023\n\017BEFORE_" +
+      "TAKEOVER\020\004\022\013\n\007EXPIRED\020\005\"V\n\013ClaimFinish\022\013" +
+      "\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030.tallycar" +
+      "t.wire.Claimant\022\016\n\006result\030\003 \001(\014\"G\n\014Claim" +
+      "Release\022\013\n\003key\030\001 \001(\t\022*\n\010claimant\030\002 \001(\0132\030" +
+      ".tallycart.wire.Claimant\"e\n\nClaimEntry\022\013" +
+      "\n\003key\030\001 \001(\t\022(\n\006holder\030\002 \001(\0132\030.tallycart." +
+      "wire.Claimant\022\016\n\006result\030\003 \001(\014\022\020\n\010finishe" +
+      "d\030\004 \001(\010\"m\n\nSlotClaims\022\014\n\004slot\030\001 \001(\r\022\014\n\004t" +
+      "erm\030\002 \001(\004\022\027\n\017refuse_until_ms\030\003 \001(\022\022*\n\006cl" +
+      "aims\030\004 \003(\0132\032.tallycart.wire.ClaimEntry\"K" +
+      "\n\014HandoverCall\022)\n\005slots\030\001 \003(\0132\032.tallycar" +
+      "t.wire.SlotClaims\022\020\n\010sequence\030\002 \001(\004\"\013\n\tS" +
+      "ubscribe\"\362\001\n\013StateUpdate\022\026\n\016config_versi" +
+      "on\030\001 \001(\004\022#\n\005parts\030\002 \003(\0132\024.tallycart.wire" +
+      ".Blob\022*\n\tpart_refs\030\003 \003(\0132\027.tallycart.wir" +
+      "e.PartRef\022\025\n\rslots_version\030\004 \001(\004\022\r\n\005slot" +
+      "s\030\005 \001(\t\022\023\n\013vms_version\030\006 \001(\004\022\013\n\003vms\030\007 \001(" +
+      "\t\022\017\n\007leaving\030\010 \003(\t\022\022\n\nactive_vms\030\t \001(\r\022\r" +
+      "\n\005ready\030\n \001(\010\"\'\n\007PartRef\022\014\n\004name\030\001 \001(\t\022\016" +
+      "\n\006digest\030\002 \001(\t\"o\n\013ShareDemand\022\021\n\tworkspa" +
+      "ce\030\001 \001(\t\022\031\n\021demand_per_second\030\002 \001(\001\022\030\n\020l" +
+      "imit_per_second\030\003 \001(\001\022\030\n\020holds_per_secon" +
+      "d\030\004 \001(\001\";\n\013ShareReport\022,\n\007demands\030\001 \003(\0132" +
+      "\033.tallycart.wire.ShareDemand\"8\n\nShareGra" +
+      "nt\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017rate_per_second" +
+      "\030\002 \001(\001\"9\n\013ShareAnswer\022*\n\006grants\030\001 \003(\0132\032." +
+      "tallycart.wire.ShareGrant\"b\n\014FeedRevisio" +
+      "n\022\"\n\004feed\030\001 \001(\0162\024.tallycart.wire.Feed\022\020\n" +
+      "\010revision\030\002 \001(\003\022\013\n\003era\030\003 \001(\003\022\017\n\007overdue\030" +
+      "\004 \001(\010\"\226\001\n\010NodeBeat\022\016\n\006answer\030\001 \001(\010\022\020\n\010dr" +
+      "aining\030\002 \001(\010\022\022\n\nsubscribes\030\003 \001(\010\022+\n\005know" +
+      "n\030\004 \003(\0132\034.tallycart.wire.FeedRevision\022\021\n" +
+      "\tpasses_on\030\005 \001(\010\022\024\n\014store_age_ms\030\006 \001(\r\"K" +
+      "\n\nFeedObject\022\014\n\004name\030\001 \001(\t\022\020\n\010revision\030\002" +
+      " \001(\003\022\017\n\007content\030\003 \001(\t\022\014\n\004gone\030\004 \001(\010\"\311\001\n\n" +
+      "FeedUpdate\022\"\n\004feed\030\001 \001(\0162\024.tallycart.wir" +
+      "e.Feed\022\r\n\005whole\030\002 \001(\010\022\025\n\rfrom_revision\030\003" +
+      " \001(\003\022\020\n\010revision\030\004 \001(\003\022\024\n\014untrusted_ms\030\005" +
+      " \001(\r\022+\n\007objects\030\006 \003(\0132\032.tallycart.wire.F" +
+      "eedObject\022\013\n\003era\030\007 \001(\003\022\017\n\007kept_ms\030\010 \001(\r\"" +
+      "\227\002\n\010PieceAsk\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stag" +
+      "e\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r\022\017\n\007service\030\004 \001(\t\022" +
+      "\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\026\n\016deadline" +
+      "_in_ms\030\007 \001(\021\022\027\n\017objective_in_ms\030\010 \001(\021\022\020\n" +
+      "\010priority\030\t \001(\r\022\026\n\016failure_domain\030\n \001(\t\022" +
+      "\023\n\013moved_bytes\030\013 \001(\004\022\024\n\014result_bytes\030\014 \001" +
+      "(\004\022\020\n\010together\030\r \001(\010\022\023\n\013fingerprint\030\016 \001(" +
+      "\t\"3\n\tPieceAsks\022&\n\004asks\030\001 \003(\0132\030.tallycart" +
+      ".wire.PieceAsk\"\223\002\n\013PieceAnswer\022\022\n\nreques" +
+      "t_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\r\022\r\n\005piece\030\003 \001(\r" +
+      "\0222\n\006status\030\004 \001(\0162\".tallycart.wire.PieceA" +
+      "nswer.Status\022\016\n\006handle\030\005 \001(\t\022\026\n\016retry_af" +
+      "ter_ms\030\006 \001(\004\"v\n\006Status\022\010\n\004MADE\020\000\022\010\n\004LATE" +
+      "\020\001\022\016\n\nINPUT_GONE\020\002\022\013\n\007NO_ROOM\020\003\022\n\n\006FAILE" +
+      "D\020\004\022\017\n\013INPUTS_READ\020\005\022\017\n\013HANDED_BACK\020\006\022\r\n" +
+      "\tNO_WORKER\020\007\"<\n\014PieceAnswers\022,\n\007answers\030" +
+      "\001 \003(\0132\033.tallycart.wire.PieceAnswer\"T\n\017Pi" +
+      "eceWithdrawal\022\017\n\007service\030\001 \001(\t\022\022\n\nreques" +
+      "t_id\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\r\n\005piece\030\004 \001(\r" +
+      "\"H\n\020PieceWithdrawals\0224\n\013withdrawals\030\001 \003(" +
+      "\0132\037.tallycart.wire.PieceWithdrawal\"0\n\014Pi" +
+      "eceRelease\022\017\n\007service\030\001 \001(\t\022\017\n\007handles\030\002" +
+      " \003(\t\"?\n\rPieceReleases\022.\n\010releases\030\001 \003(\0132" +
+      "\034.tallycart.wire.PieceRelease\"L\n\014CrashSu" +
+      "spect\022\023\n\013fingerprint\030\001 \001(\t\022\022\n\nrequest_id" +
+      "\030\002 \001(\t\022\023\n\013sent_ago_ms\030\003 \001(\r\"h\n\013CrashRepo" +
+      "rt\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014ended_ago_ms\030" +
+      "\002 \001(\r\022.\n\010suspects\030\003 \003(\0132\034.tallycart.wire" +
+      ".CrashSuspect\"$\n\014CrashCleared\022\024\n\014fingerp" +
+      "rints\030\001 \003(\t\":\n\rCrashQuestion\022\023\n\013fingerpr" +
+      "int\030\001 \001(\t\022\024\n\014since_ago_ms\030\002 \001(\r\"?\n\022Quara" +
+      "ntinedRequest\022\023\n\013fingerprint\030\001 \001(\t\022\024\n\014re" +
+      "maining_ms\030\002 \001(\r\"H\n\020QuarantineNotice\0224\n\010" +
+      "requests\030\001 \003(\0132\".tallycart.wire.Quaranti" +
+      "nedRequest\"W\n\rUpstreamLimit\022\023\n\013incarnati" +
+      "on\030\001 \001(\t\022\017\n\007limited\030\002 \001(\010\022\022\n\nper_second\030" +
+      "\003 \001(\001\022\014\n\004said\030\004 \001(\006\"Q\n\017StatementNotice\022-" +
+      "\n\006limits\030\001 \003(\0132\035.tallycart.wire.Upstream" +
+      "Limit\022\017\n\007leaving\030\002 \003(\t\"]\n\010LimitAsk\022\016\n\006nu" +
+      "mber\030\001 \001(\004\022,\n\005limit\030\002 \001(\0132\035.tallycart.wi" +
+      "re.UpstreamLimit\022\023\n\013patience_ms\030\003 \001(\r\"m\n" +
+      "\013LimitAnswer\022\016\n\006number\030\001 \001(\004\022\017\n\007granted\030" +
+      "\002 \001(\010\022\017\n\007wait_ms\030\003 \001(\r\022,\n\005limit\030\004 \001(\0132\035." +
+      "tallycart.wire.UpstreamLimit\"-\n\nRelayOff" +
+      "er\022\016\n\006answer\030\001 \001(\010\022\017\n\007accepts\030\002 \001(\010\")\n\nR" +
+      "elayField\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\336" +
+      "\001\n\tRelayCall\022\016\n\006number\030\001 \001(\004\022\027\n\017connecti" +
+      "on_pool\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(" +
+      "\r\022\016\n\006method\030\005 \001(\t\022\014\n\004path\030\006 \001(\t\022*\n\006field" +
+      "s\030\007 \003(\0132\032.tallycart.wire.RelayField\022\014\n\004b" +
+      "ody\030\010 \001(\014\022\032\n\022connect_timeout_ms\030\t \001(\r\022\030\n" +
+      "\020reuse_connection\030\n \001(\010\"\200\001\n\014RelayControl" +
+      "\022\016\n\006number\030\001 \001(\004\0223\n\006action\030\002 \001(\0162#.tally" +
+      "cart.wire.RelayControl.Action\"+\n\006Action\022" +
+      "\n\n\006CANCEL\020\000\022\t\n\005PAUSE\020\001\022\n\n\006RESUME\020\002\"G\n\tRe" +
+      "layHead\022\016\n\006status\030\001 \001(\r\022*\n\006fields\030\002 \003(\0132" +
+      "\032.tallycart.wire.RelayField\"\032\n\010RelayEnd\022" +
+      "\016\n\006framed\030\001 \001(\010\"\223\001\n\014RelayFailure\022/\n\004kind" +
+      "\030\001 \001(\0162!.tallycart.wire.RelayFailure.Kin" +
+      "d\022\014\n\004sent\030\002 \001(\010\022\016\n\006detail\030\003 \001(\t\"4\n\004Kind\022" +
+      "\021\n\rNOT_CONNECTED\020\000\022\n\n\006CLOSED\020\001\022\r\n\tMALFOR" +
+      "MED\020\002\"\271\001\n\nRelayReply\022\016\n\006number\030\001 \001(\004\022)\n\004" +
+      "head\030\002 \001(\0132\031.tallycart.wire.RelayHeadH\000\022" +
+      "\016\n\004body\030\003 \001(\014H\000\022\'\n\003end\030\004 \001(\0132\030.tallycart" +
+      ".wire.RelayEndH\000\022/\n\007failure\030\005 \001(\0132\034.tall" +
+      "ycart.wire.RelayFailureH\000B\006\n\004part\"c\n\014Str" +
+      "eamOrigin\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\024\n\014rema" +
+      "ining_ms\030\004 \001(\r\">\n\rStreamOrigins\022-\n\007strea" +
+      "ms\030\001 \003(\0132\034.tallycart.wire.StreamOrigin\"7" +
+      "\n\021StreamOriginQuery\022\016\n\006number\030\001 \001(\004\022\022\n\nr" +
+      "equest_id\030\002 \001(\t\"Q\n\021StreamOriginReply\022\016\n\006" +
+      "number\030\001 \001(\004\022,\n\006origin\030\002 \001(\0132\034.tallycart" +
+      ".wire.StreamOrigin*R\n\004Feed\022\021\n\rCONFIGURAT" +
+      "ION\020\000\022\r\n\tUPSTREAMS\020\001\022\007\n\003VMS\020\002\022\017\n\013EVACUAT" +
+      "IONS\020\003\022\016\n\nQUARANTINE\020\004B\036\n\032org.tallycart." +
+      "wire.messageP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -512,7 +544,7 @@
     internal_static_tallycart_wire_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_Envelope_descriptor,
-        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "FeedUpdate", "CrashReport", "CrashCleared", "QuarantineNotice", "CrashQuestion", "StatementNotice", "LimitAsk", "LimitAnswer", "RelayOffer", "RelayCall", "RelayControl", "RelayReply", "Body", });
+        new java.lang.String[] { "Correlation", "Reply", "Clock", "SenderVm", "SenderIncarnation", "Heartbeat", "PullRequest", "PullReply", "BlobRequest", "BlobReply", "LeavingNotice", "Ack", "ClaimCall", "ClaimAnswer", "ClaimFinish", "ClaimRelease", "HandoverCall", "Subscribe", "StateUpdate", "ShareReport", "ShareAnswer", "NodeBeat", "PieceAsks", "PieceAnswers", "PieceWithdrawals", "PieceReleases", "FeedUpdate", "CrashReport", "CrashCleared", "QuarantineNotice", "CrashQuestion", "StatementNotice", "LimitAsk", "LimitAnswer", "RelayOffer", "RelayCall", "RelayControl", "RelayReply", "StreamOrigins", "StreamOriginQuery", "StreamOriginReply", "Body", });
     internal_static_tallycart_wire_Ack_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_tallycart_wire_Ack_fieldAccessorTable = new
@@ -849,6 +881,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_tallycart_wire_RelayReply_descriptor,
         new java.lang.String[] { "Number", "Head", "Body", "End", "Failure", "Part", });
+    internal_static_tallycart_wire_StreamOrigin_descriptor =
+      getDescriptor().getMessageType(57);
+    internal_static_tallycart_wire_StreamOrigin_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_StreamOrigin_descriptor,
+        new java.lang.String[] { "RequestId", "Service", "SoftwareVersion", "RemainingMs", });
+    internal_static_tallycart_wire_StreamOrigins_descriptor =
+      getDescriptor().getMessageType(58);
+    internal_static_tallycart_wire_StreamOrigins_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_StreamOrigins_descriptor,
+        new java.lang.String[] { "Streams", });
+    internal_static_tallycart_wire_StreamOriginQuery_descriptor =
+      getDescriptor().getMessageType(59);
+    internal_static_tallycart_wire_StreamOriginQuery_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_StreamOriginQuery_descriptor,
+        new java.lang.String[] { "Number", "RequestId", });
+    internal_static_tallycart_wire_StreamOriginReply_descriptor =
+      getDescriptor().getMessageType(60);
+    internal_static_tallycart_wire_StreamOriginReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_tallycart_wire_StreamOriginReply_descriptor,
+        new java.lang.String[] { "Number", "Origin", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
