--- a/core/src/main/java/org/tallycart/core/stream/ServedVersions.java
+++ b/core/src/main/java/org/tallycart/core/stream/ServedVersions.java
@@ -23,10 +23,12 @@
 	 * Find the only version, also for a VM that has not seen the list of upstreams for
 	 * long enough.
 	 * @param service the service
+	 * @param confirm whether the platform's store has to confirm it, since this VM may be
+	 * cut off without having noticed
 	 * @param nowMs the current monotonic time, in milliseconds
 	 * @param consumer receives the version, at once or later; empty if there were several
 	 * or it is unknown
 	 */
-	void findOnlyVersion(String service, long nowMs, Consumer<Optional<String>> consumer);
+	void findOnlyVersion(String service, boolean confirm, long nowMs, Consumer<Optional<String>> consumer);
 
 }
--- a/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
+++ b/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
@@ -26,7 +26,8 @@
  * Invariants: a lookup has one result, within {@link #LOOKUP_TIMEOUT_MS} and the time
  * that {@link ServedVersions} takes; a version is found only if it began the stream, or
  * if it was the only one that could have. A VM that no other VM answers may be cut off,
- * and infers nothing. Not thread-safe: confined to the event loop.
+ * so the store has to confirm what it infers. Not thread-safe: confined to the event
+ * loop.
  *
  * @since 0.1
  */
@@ -148,14 +149,9 @@
 		if (!lookup.pending.isEmpty() || this.lookups.remove(number) == null) {
 			return;
 		}
-		if (lookup.isUnanswered()) {
-			lookup.consumer.accept(Optional.empty(), LookupSource.NONE);
-		}
-		else {
-			this.versions.findOnlyVersion(lookup.service, nowMs,
-					(version) -> lookup.consumer.accept(version.map((only) -> new StreamOrigin(lookup.service, only)),
-							version.isPresent() ? LookupSource.ONLY_VERSION : LookupSource.NONE));
-		}
+		this.versions.findOnlyVersion(lookup.service, lookup.isUnanswered(), nowMs,
+				(version) -> lookup.consumer.accept(version.map((only) -> new StreamOrigin(lookup.service, only)),
+						version.isPresent() ? LookupSource.ONLY_VERSION : LookupSource.NONE));
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -162,7 +162,8 @@
 		this.pieces = new PieceService(settings.vm(), poolContext, this.config, this.directory);
 		this.versions = new SoftwareVersionHistory(this.directory, this.config, new SoftwareVersionRecords(objects),
 				this.loop, this.log, this.store::upToDateSinceMs, this.store::readsStore);
-		this.streamOrigins = new StreamOriginService(settings.vm(), this.loop, this.metrics, this.versions);
+		this.streamOrigins = new StreamOriginService(settings.vm(), this.loop, this.metrics, this.versions,
+				this.store::isLoaded);
 		this.mesh = new PeerMesh(settings.vm(), this.transport, this.loop, this.log, PeerMessageHandler.composite(
 				List.of(this.pieces, this.crashReports, this.statements, this.permits, this.links, this.streamOrigins)),
 				this.store);
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -235,7 +235,7 @@
 	private void review(LeaderView view, long now) {
 		this.chooser.setHasSubscribers(!this.subscribers.current(now).isEmpty());
 		updateWatchedRoles(this.chooser.watchedRoles(view, now));
-		boolean loaded = this.replicas.stream().allMatch(FeedReplica::isLoaded);
+		boolean loaded = isLoaded();
 		StoreSourceChooser.Action action = this.chooser.review(view, loaded, this.vmReplica.isLoaded(), now);
 		switch (action) {
 			case PROBE -> this.records.probe((succeeded) -> onSourceProbed(succeeded, now));
@@ -262,9 +262,16 @@
 		}
 	}
 
+	/**
+	 * Return whether all contents of the store were loaded at least once.
+	 * @return true if they were
+	 */
+	public boolean isLoaded() {
+		return this.replicas.stream().allMatch(FeedReplica::isLoaded);
+	}
+
 	private void updateAge(long now) {
-		boolean loaded = this.replicas.stream().allMatch(FeedReplica::isLoaded);
-		boolean upToDate = loaded && this.chooser.storeAgeMs(now) <= UP_TO_DATE_AGE_MS;
+		boolean upToDate = isLoaded() && this.chooser.storeAgeMs(now) <= UP_TO_DATE_AGE_MS;
 		if (!upToDate) {
 			this.upToDateSinceMs = Long.MAX_VALUE;
 		}
--- a/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
+++ b/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
@@ -109,12 +109,12 @@
 	}
 
 	@Override
-	public void findOnlyVersion(String service, long nowMs, Consumer<Optional<String>> consumer) {
+	public void findOnlyVersion(String service, boolean confirm, long nowMs, Consumer<Optional<String>> consumer) {
 		Optional<String> listed = onlyListed(service, nowMs - StreamOriginRegistry.RETENTION_MS);
 		if (listed.isEmpty() || this.upToDateSinceMs.getAsLong() > nowMs) {
 			consumer.accept(Optional.empty());
 		}
-		else if (onlyVersion(service, nowMs).isPresent()) {
+		else if (!confirm && onlyVersion(service, nowMs).isPresent()) {
 			consumer.accept(listed);
 		}
 		else {
--- a/node/src/main/java/org/tallycart/node/stream/StreamOriginService.java
+++ b/node/src/main/java/org/tallycart/node/stream/StreamOriginService.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 
 import org.tallycart.core.stream.BegunStream;
 import org.tallycart.core.stream.ServedVersions;
@@ -27,6 +28,15 @@
  */
 public final class StreamOriginService implements PeerMessageHandler, StreamOriginPeers {
 
+	/**
+	 * Time for which a lookup waits until a process that has just started has loaded the
+	 * other VMs and the upstreams, in milliseconds; callers of a lost VM return at once.
+	 */
+	private static final long START_WAIT_MS = 500;
+
+	/** Interval at which it is checked whether they are loaded, in milliseconds. */
+	private static final long START_CHECK_MS = 20;
+
 	private final EventLoop loop;
 
 	private final NodeMetrics metrics;
@@ -35,6 +45,8 @@
 
 	private final StreamOriginRegistry registry;
 
+	private final BooleanSupplier storeLoaded;
+
 	private Optional<PeerMesh> mesh = Optional.empty();
 
 	/**
@@ -43,11 +55,14 @@
 	 * @param loop the event loop
 	 * @param metrics the metrics of the process
 	 * @param versions the software versions that have served
+	 * @param storeLoaded returns whether the contents of the platform's store were loaded
 	 */
-	public StreamOriginService(String vm, EventLoop loop, NodeMetrics metrics, ServedVersions versions) {
+	public StreamOriginService(String vm, EventLoop loop, NodeMetrics metrics, ServedVersions versions,
+			BooleanSupplier storeLoaded) {
 		this.loop = loop;
 		this.metrics = metrics;
 		this.versions = versions;
+		this.storeLoaded = storeLoaded;
 		this.registry = new StreamOriginRegistry(vm, this, versions);
 	}
 
@@ -82,15 +97,24 @@
 			this.metrics.onStreamResumed(source.name().toLowerCase(Locale.ROOT));
 			consumer.accept(origin, source);
 		};
+		findOnceLoaded(id, service, this.loop.nowMs() + START_WAIT_MS, counting);
+	}
+
+	private void findOnceLoaded(Optional<String> id, String service, long waitUntilMs,
+			BiConsumer<Optional<StreamOrigin>, LookupSource> consumer) {
 		long now = this.loop.nowMs();
+		if (!this.storeLoaded.getAsBoolean() && now < waitUntilMs) {
+			this.loop.schedule(START_CHECK_MS, () -> findOnceLoaded(id, service, waitUntilMs, consumer));
+			return;
+		}
 		if (id.isPresent()) {
-			this.registry.find(id.get(), service, now, counting);
+			this.registry.find(id.get(), service, now, consumer);
 			this.loop.schedule(StreamOriginRegistry.LOOKUP_TIMEOUT_MS,
 					() -> this.registry.expireLookups(this.loop.nowMs()));
 			return;
 		}
-		this.versions.findOnlyVersion(service, now,
-				(version) -> counting.accept(version.map((only) -> new StreamOrigin(service, only)),
+		this.versions.findOnlyVersion(service, false, now,
+				(version) -> consumer.accept(version.map((only) -> new StreamOrigin(service, only)),
 						version.isPresent() ? LookupSource.ONLY_VERSION : LookupSource.NONE));
 	}
 
