The soak's engines run two software versions, and its callers resume broken streams at any VM

Each event states the version that made it; a caller checks over all its requests for a stream that events follow each other, are its own and come from one version. Streams last 240 ms, so that kills, cuts and crashes hit them.

--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
@@ -1,6 +1,7 @@
 package org.tallycart.integration.soak;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,14 +16,12 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 import org.tallycart.core.ini.Address;
 
 /**
- * Callers that send requests of all kinds to all VMs over persistent connections, and
- * check each response.
+ * Callers that send requests of all kinds to all VMs over persistent connections, check
+ * each response, and resume broken streams at any VM.
  * <p>
  * Thread-safe.
  */
@@ -36,7 +35,7 @@
 
 	private static final int STREAM_TIMEOUT_MS = 5_000;
 
-	private static final int EVENTS_PER_STREAM = 4;
+	private static final int MAX_RESUMPTIONS = 3;
 
 	/** One of this many requests crashes the upstreams that run it. */
 	private static final int CRASHING_INTERVAL = 60;
@@ -54,6 +53,10 @@
 
 	private final Set<String> nonIdempotentIds = ConcurrentHashMap.newKeySet();
 
+	private final Map<String, ReceivedStream> broken = new ConcurrentHashMap<>();
+
+	private final Map<String, Integer> resumptions = new ConcurrentHashMap<>();
+
 	private final ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
 
 	private volatile boolean stopped;
@@ -84,11 +87,36 @@
 			String kind = List.of("plain", "once", "stream").get(random.nextInt(3));
 			boolean crashing = random.nextInt(CRASHING_INTERVAL) == 0;
 			String path = crashing ? "/stream/" + SoakFleet.CRASHING : "/" + kind + "/x";
-			call(client, node.callers(), path, name + "-" + i);
+			Optional<Integer> status = call(client, node.callers(), path, name + "-" + i);
+			if (status.isEmpty() && path.startsWith("/stream/")) {
+				resume(client, path, name + "-" + i, random);
+			}
 			pause(random.nextInt(MAX_PAUSE_MS));
 		}
 	}
 
+	// Resumes a stream of which events were received, at any VM.
+	private void resume(HttpClient client, String path, String begunBy, Random random) {
+		for (int retry = 1; retry <= MAX_RESUMPTIONS && !this.stopped; retry++) {
+			Optional<ReceivedStream> received = Optional.ofNullable(this.broken.get(begunBy));
+			if (received.isEmpty() || received.get().isComplete()) {
+				return;
+			}
+			SoakNode node = this.fleet.nodes().get(random.nextInt(this.fleet.nodes().size()));
+			pause(random.nextInt(MAX_PAUSE_MS));
+			Optional<Integer> status = call(client, node.callers(), path, begunBy + "-again" + retry, received);
+			this.resumptions.merge(status.map(String::valueOf).orElse("broken"), 1, Integer::sum);
+		}
+	}
+
+	/**
+	 * Return how resumed streams ended.
+	 * @return the counts by status; broken if no complete response was received
+	 */
+	Map<String, Integer> resumptions() {
+		return Map.copyOf(this.resumptions);
+	}
+
 	private static HttpClient client() {
 		return HttpClient.newBuilder()
 			.version(HttpClient.Version.HTTP_1_1)
@@ -98,15 +126,25 @@
 
 	// Returns the status, or empty if no complete response was received.
 	private Optional<Integer> call(HttpClient client, Address address, String path, String id) {
+		return call(client, address, path, id, Optional.empty());
+	}
+
+	private Optional<Integer> call(HttpClient client, Address address, String path, String id,
+			Optional<ReceivedStream> resumed) {
 		boolean stream = path.startsWith("/stream/");
 		int timeoutMs = stream ? STREAM_TIMEOUT_MS : TIMEOUT_MS;
 		if (path.startsWith("/once/")) {
 			this.nonIdempotentIds.add(id);
 		}
 		try {
-			HttpResponse<String> response = client.send(request(address, path, id, timeoutMs, stream),
-					HttpResponse.BodyHandlers.ofString());
-			check(response, path, id);
+			HttpRequest.Builder request = request(address, path, id, timeoutMs, stream);
+			resumed.ifPresent((received) -> request.header("Resumes", received.begunBy())
+				.header("Last-Event-Id", String.valueOf(received.eventCount())));
+			if (stream) {
+				return callStream(client, request.build(), path, id, resumed.orElseGet(() -> new ReceivedStream(id)));
+			}
+			HttpResponse<String> response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+			check(response.statusCode(), response.body().equals("POST " + path + " for " + id), path, id);
 			return Optional.of(response.statusCode());
 		}
 		catch (IOException ex) {
@@ -119,7 +157,25 @@
 		}
 	}
 
-	private static HttpRequest request(Address address, String path, String id, int timeoutMs, boolean stream) {
+	private Optional<Integer> callStream(HttpClient client, HttpRequest request, String path, String id,
+			ReceivedStream received) throws IOException, InterruptedException {
+		HttpResponse<InputStream> response = client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+		boolean whole = response.statusCode() != 200 || received.read(response.body(), id);
+		if (response.statusCode() != 200) {
+			response.body().close();
+		}
+		received.problem().ifPresent((problem) -> this.violations.add(path + " " + id + ": " + problem));
+		if (!whole) {
+			if (received.eventCount() > 0) {
+				this.broken.put(received.begunBy(), received);
+			}
+			return Optional.empty();
+		}
+		check(response.statusCode(), received.isComplete(), path, id);
+		return Optional.of(response.statusCode());
+	}
+
+	private static HttpRequest.Builder request(Address address, String path, String id, int timeoutMs, boolean stream) {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
 			.timeout(Duration.ofMillis(timeoutMs + 1_000L))
 			.header("Api-Key", "key")
@@ -133,13 +189,12 @@
 				.header("X-Tallycart-Pieces", "2,3")
 				.header("X-Tallycart-Piece-Key", "k");
 		}
-		return request.build();
+		return request;
 	}
 
-	private void check(HttpResponse<String> response, String path, String id) {
-		int status = response.statusCode();
-		if (status == 200 && !response.body().equals(expected(path, id))) {
-			this.violations.add("misdelivered or incomplete response to " + path + " " + id + ": " + response.body());
+	private void check(int status, boolean asExpected, String path, String id) {
+		if (status == 200 && !asExpected) {
+			this.violations.add("misdelivered or incomplete response to " + path + " " + id);
 		}
 		else if (NOT_RUN_STATUSES.contains(status)) {
 			this.notRunStatuses.put(id, status);
@@ -149,15 +204,6 @@
 		}
 	}
 
-	private static String expected(String path, String id) {
-		if (!path.startsWith("/stream/")) {
-			return "POST " + path + " for " + id;
-		}
-		return IntStream.rangeClosed(1, EVENTS_PER_STREAM)
-			.mapToObj((number) -> "id: " + number + "\ndata: " + id + "\n\n")
-			.collect(Collectors.joining());
-	}
-
 	/**
 	 * Send calls to a VM and return the number of successful responses.
 	 * @param node the VM
@@ -186,7 +232,8 @@
 	int status(SoakNode node, String path, String id) {
 		try {
 			return client()
-				.send(request(node.callers(), path, id, TIMEOUT_MS, false), HttpResponse.BodyHandlers.ofString())
+				.send(request(node.callers(), path, id, TIMEOUT_MS, false).build(),
+						HttpResponse.BodyHandlers.ofString())
 				.statusCode();
 		}
 		catch (IOException ex) {
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -67,6 +67,12 @@
 	/** Duration of a request, long enough that faults hit running requests. */
 	private static final long WORK_MS = 40;
 
+	/** Time between events, long enough that faults hit running streams. */
+	private static final long EVENT_INTERVAL_MS = 60;
+
+	/** Number of software versions that serve side by side. */
+	private static final int SOFTWARE_VERSIONS = 2;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final StoreStandin store = StoreStandin.start(this.group);
@@ -159,6 +165,9 @@
 		this.cuts.forEach(path::cut);
 		upstream.advertise(path.address());
 		upstream.setWorkMs(WORK_MS);
+		upstream.setEventIntervalMs(EVENT_INTERVAL_MS);
+		upstream.setSoftwareVersion("v" + this.upstreams.size() % SOFTWARE_VERSIONS);
+		upstream.stateVersionInEvents();
 		upstream.crashOn(CRASHING, () -> replace(id, service));
 		this.upstreams.put(id, upstream);
 		this.upstreamPaths.put(id, path);
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -1,6 +1,7 @@
 package org.tallycart.integration.soak;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -111,8 +112,10 @@
 				checkListedDraining(fleet, callers, violations);
 				callers.stop();
 				callers.checkRuns();
+				violations.note("resumed streams: " + callers.resumptions());
 			}
 		}
+		Files.writeString(folder.resolve("notes.txt"), violations.toString());
 		assertTrue(violations.isEmpty(), "seed " + seed + ", logs in " + folder + ":\n" + violations);
 	}
 
