Streams that began before the other VMs were known are told later; software versions that left long ago are dropped

Found by reading: a VM that had not loaded the other VMs' records told the origin of a stream to nobody and forgot that it had not; and the directory kept each version that ever left. SoftwareVersionTests.aStreamGoesOnAfterTheLossOfAllVms... failed once beside load (11 of 12): its first fleet lived for less than the 200 ms in which the record of versions is first written, so the first lookup of the second fleet found none (log: NONE after 15 ms, the next 11 ONLY_VERSION). It waits for the record; the bound stays.

--- a/core/src/main/java/org/tallycart/core/stream/OriginHolders.java
+++ b/core/src/main/java/org/tallycart/core/stream/OriginHolders.java
@@ -42,6 +42,10 @@
 		this.vmCount = distinct.size();
 	}
 
+	boolean isEmpty() {
+		return this.vmCount == 0;
+	}
+
 	/**
 	 * Return the VMs that keep the origin of a stream.
 	 * @param id the id of the stream
--- a/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
+++ b/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
@@ -100,7 +100,11 @@
 		}
 	}
 
+	// Keeps the streams until the other VMs are known.
 	private void sendUnsent(Set<String> services, long nowMs) {
+		if (this.holders.isEmpty()) {
+			return;
+		}
 		Map<String, List<BegunStream>> byVm = new HashMap<>();
 		this.unsent.entrySet().removeIf((entry) -> {
 			boolean due = services.contains(entry.getValue());
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -36,6 +36,12 @@
 	 */
 	private static final long RENEWAL_GRACE_MS = 2_200;
 
+	/**
+	 * Time for which a software version is retained after its last upstream was unlisted,
+	 * in milliseconds; longer than any stream.
+	 */
+	private static final long VERSION_RETENTION_MS = 600_000;
+
 	private final Map<String, UpstreamState> states = new HashMap<>();
 
 	private final Map<String, UpstreamState> vanished = new HashMap<>();
@@ -233,10 +239,13 @@
 	}
 
 	/**
-	 * Drop vanished entries after the end of the grace period.
+	 * Drop vanished entries after the end of the grace period, and versions that were
+	 * unlisted long ago.
 	 * @param nowMs the current monotonic time, in milliseconds
 	 */
 	public void expireVanished(long nowMs) {
+		this.unlistedVersionsMs.values()
+			.forEach((versions) -> versions.values().removeIf((at) -> nowMs - at > VERSION_RETENTION_MS));
 		if (isListTrusted(nowMs) && !this.vanished.isEmpty()) {
 			this.byService.clear();
 			this.vanished.values().forEach((state) -> onVersionUnlisted(state, nowMs));
--- a/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
+++ b/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
@@ -186,6 +186,7 @@
 	@Test
 	void aStreamGoesOnAfterTheLossOfAllVmsWhileOneVersionServes() {
 		List<String> streams = beginBrokenStreams(this.nodes.get(0));
+		await(() -> this.store.names("tallycart-software").contains("engine"));
 		this.nodes.forEach(Node::close);
 		this.nodes.clear();
 		for (int i = 0; i < vms(); i++) {
