--- a/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
+++ b/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
@@ -165,7 +165,8 @@
 		}
 		Map<String, Set<String>> changed = new HashMap<>();
 		for (String service : this.config.current().map(ServingConfig::streamingServices).orElse(Set.of())) {
-			Set<String> listed = this.directory.softwareVersionsSince(service, now + 1);
+			// Without the versions that have left.
+			Set<String> listed = this.directory.softwareVersionsSince(service, Long.MAX_VALUE);
 			if (!listed.isEmpty() && !listed.equals(this.recorded.get(service))) {
 				changed.put(service, listed);
 			}
