Streams are told to VMs that become known after they began

Trace: the VM began its streams 0.1 s after its start, when only its own record was listed; it ranked itself alone, told nobody and took that for done, and was killed 0.2 s later, before any other VM had heard of it. Records are listed once a second, so each fleet's first second, and each VM that is added, has this. Now a change of the records makes a VM tell its streams of the last minute again, to the VMs that keep them now. StreamOriginRegistryTests.aStreamIsToldToVmsThatAreKnownLater: failed before, passes. No VM can tell others that it does not know: the socket test begins once all VMs know each other; its counts and bounds stay.

--- a/core/src/main/java/org/tallycart/core/stream/OriginHolders.java
+++ b/core/src/main/java/org/tallycart/core/stream/OriginHolders.java
@@ -29,21 +29,18 @@
 
 	private int vmCount;
 
-	// The same records are repeated with each list, for which nothing changes.
-	void updateVms(Collection<VmRecord> updated) {
+	// Returns whether the records have changed; each list repeats the same ones.
+	boolean updateVms(Collection<VmRecord> updated) {
 		Set<VmRecord> distinct = new HashSet<>(updated);
 		if (distinct.equals(this.records)) {
-			return;
+			return false;
 		}
 		this.records = distinct;
 		this.byDomain.clear();
 		distinct.forEach((record) -> this.byDomain.computeIfAbsent(record.failureDomain(), (key) -> new ArrayList<>())
 			.add(HashedName.of(record.vm())));
 		this.vmCount = distinct.size();
-	}
-
-	boolean isEmpty() {
-		return this.vmCount == 0;
+		return true;
 	}
 
 	/**
--- a/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
+++ b/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
@@ -58,7 +58,10 @@
 
 	private final StreamOriginTable table = new StreamOriginTable();
 
-	// Streams that this VM has begun and told no other VM, with their services.
+	// Streams that this VM has begun, with their services.
+	private final Map<String, String> begun = new LinkedHashMap<>();
+
+	// Those of them that the VMs which keep them have not been told, with their services.
 	private final Map<String, String> unsent = new LinkedHashMap<>();
 
 	private final Map<Long, Lookup> lookups = new LinkedHashMap<>();
@@ -78,11 +81,14 @@
 	}
 
 	/**
-	 * Replace the VMs that may exist.
+	 * Replace the VMs that may exist. If they have changed, other VMs may have to keep
+	 * the streams that this VM has begun, and are told by the next {@link #tick(long)}.
 	 * @param records the records of all VMs
 	 */
 	public void updateVms(Collection<VmRecord> records) {
-		this.holders.updateVms(records);
+		if (this.holders.updateVms(records)) {
+			this.unsent.putAll(this.begun);
+		}
 	}
 
 	/**
@@ -94,17 +100,14 @@
 	 */
 	public void onBegun(String id, StreamOrigin origin, long maxMs, long nowMs) {
 		this.table.put(id, origin, nowMs + Math.max(maxMs, RETENTION_MS));
+		this.begun.put(id, origin.service());
 		this.unsent.put(id, origin.service());
 		if (this.versions.onlyVersion(origin.service(), nowMs).isEmpty()) {
 			sendUnsent(Set.of(origin.service()), nowMs);
 		}
 	}
 
-	// Keeps the streams until the other VMs are known.
 	private void sendUnsent(Set<String> services, long nowMs) {
-		if (this.holders.isEmpty()) {
-			return;
-		}
 		Map<String, List<BegunStream>> byVm = new HashMap<>();
 		this.unsent.entrySet().removeIf((entry) -> {
 			boolean due = services.contains(entry.getValue());
@@ -207,7 +210,8 @@
 	 */
 	public void tick(long nowMs) {
 		this.table.expire(nowMs);
-		dropExpiredUnsent(nowMs);
+		dropExpired(this.begun, nowMs);
+		dropExpired(this.unsent, nowMs);
 		Set<String> mixed = new HashSet<>(this.unsent.values());
 		mixed.removeIf((service) -> this.versions.onlyVersion(service, nowMs).isPresent());
 		if (!mixed.isEmpty()) {
@@ -216,8 +220,8 @@
 		expireLookups(nowMs);
 	}
 
-	private void dropExpiredUnsent(long nowMs) {
-		Iterator<String> oldest = this.unsent.keySet().iterator();
+	private void dropExpired(Map<String, String> streams, long nowMs) {
+		Iterator<String> oldest = streams.keySet().iterator();
 		while (oldest.hasNext() && this.table.find(oldest.next(), nowMs).isEmpty()) {
 			oldest.remove();
 		}
--- a/core/src/test/java/org/tallycart/core/stream/StreamOriginRegistryTests.java
+++ b/core/src/test/java/org/tallycart/core/stream/StreamOriginRegistryTests.java
@@ -84,6 +84,25 @@
 		assertTrue(this.toldVms.size() >= 3, this.toldVms.toString());
 	}
 
+	// Guards against streams that only their own VM knows, since the records of the
+	// others
+	// came after they began.
+	@Test
+	void aStreamIsToldToVmsThatAreKnownLater() {
+		this.registry = create();
+		this.registry.updateVms(RECORDS.subList(0, 1));
+		this.registry.onBegun("r", ORIGIN, 0, 0);
+		this.registry.tick(100);
+		assertEquals(this.toldVms, List.of());
+		this.registry.updateVms(RECORDS);
+		this.registry.tick(200);
+		int told = this.toldVms.size();
+		this.registry.updateVms(RECORDS);
+		this.registry.tick(300);
+		assertTrue(told >= 3, this.toldVms.toString());
+		assertEquals(this.toldVms.size(), told, "told once");
+	}
+
 	@Test
 	void aStreamIsToldOnceItsVersionIsNoLongerTheOnlyOne() {
 		this.onlyVersion = Optional.of("v1");
--- a/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
+++ b/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
@@ -32,7 +32,10 @@
 		return 3;
 	}
 
+	// Begins once the VMs know each other, so that a lost one has told others of its
+	// streams.
 	private void startSecondVersion() {
+		this.nodes.forEach((node) -> await(() -> metrics(node).contains("\nvms_live " + (double) (vms() - 1))));
 		for (String id : List.of("i-engine0", "i-engine1")) {
 			this.store.remove("servers", id);
 			this.upstreams.remove(id);
