A list of upstreams that becomes up to date during a lookup counts for it

Seen twice, SoftwareVersionTests.aStreamGoesOnAfterTheLossOfAllVms... 11 of 12, each time the first stream that a VM was asked for within milliseconds of its first list. The first of the two was put down in to the record of versions not being written yet; the trace of the second shows the record there, so that was not (or not the whole) cause. The time since which the list is up to date is taken at the first look, and was compared with the time that the lookup had read before it: across a tick of the clock the list seemed out of date. SoftwareVersionHistoryTests (8 rows, real store stand-in): the row NOW_MS + 1 failed before, all pass.

--- a/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
+++ b/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
@@ -103,6 +103,12 @@
 		return (this.upToDateSinceMs.getAsLong() <= sinceMs) ? onlyListed(service, sinceMs) : Optional.empty();
 	}
 
+	// Not compared with a time, which may have been read before the list became up to
+	// date.
+	private boolean isUpToDate() {
+		return this.upToDateSinceMs.getAsLong() != Long.MAX_VALUE;
+	}
+
 	private Optional<String> onlyListed(String service, long sinceMs) {
 		Set<String> versions = this.directory.softwareVersionsSince(service, sinceMs);
 		return (versions.size() == 1) ? versions.stream().findFirst() : Optional.empty();
@@ -111,7 +117,7 @@
 	@Override
 	public void findOnlyVersion(String service, boolean confirm, long nowMs, Consumer<Optional<String>> consumer) {
 		Optional<String> listed = onlyListed(service, nowMs - StreamOriginRegistry.RETENTION_MS);
-		if (listed.isEmpty() || this.upToDateSinceMs.getAsLong() > nowMs) {
+		if (listed.isEmpty() || !isUpToDate()) {
 			consumer.accept(Optional.empty());
 		}
 		else if (!confirm && onlyVersion(service, nowMs).isPresent()) {
@@ -156,7 +162,7 @@
 	 */
 	public void refresh() {
 		long now = this.loop.nowMs();
-		if (!this.recordsVersions.getAsBoolean() || this.upToDateSinceMs.getAsLong() > now) {
+		if (!this.recordsVersions.getAsBoolean() || !isUpToDate()) {
 			this.recorded.clear();
 			return;
 		}
