Logs tell the parts of prompts, cleared suspects, and why an attempt is made

TC6001 and TC6030 hold the fingerprints of the prompt's parts but the last, TC6043 says that a suspect of crashes was cleared and by what, and TC6003 holds the reason of each attempt (first, retry within the budget, not connected, stage results gone). No decision changes.

--- a/core/src/main/java/org/tallycart/core/crash/Fingerprint.java
+++ b/core/src/main/java/org/tallycart/core/crash/Fingerprint.java
@@ -43,6 +43,10 @@
 		add(digest, request.target());
 		add(digest, request.key().orElse(""));
 		digest.update(request.body());
+		return of(digest);
+	}
+
+	static Fingerprint of(MessageDigest digest) {
 		return new Fingerprint(HexFormat.of().formatHex(digest.digest(), 0, DIGEST_BYTES));
 	}
 
--- a/core/src/main/java/org/tallycart/core/serving/Prompt.java
+++ b/core/src/main/java/org/tallycart/core/serving/Prompt.java
@@ -26,6 +26,15 @@
 		return this.parts.isEmpty() ? "" : this.parts.get(sharedPartCount() - 1).id();
 	}
 
+	/**
+	 * Return the parts before the last one, which belongs to the session or to the
+	 * request itself.
+	 * @return the parts in order; empty if there are fewer than two
+	 */
+	public List<PromptPart> leadingParts() {
+		return this.parts.subList(0, Math.max(this.parts.size() - 1, 0));
+	}
+
 	/**
 	 * Return the id of the first part, which most requests share.
 	 * @return the id, or an empty string if the prompt has no parts
--- a/node/src/main/java/org/tallycart/node/crash/CrashReportCoordinator.java
+++ b/node/src/main/java/org/tallycart/node/crash/CrashReportCoordinator.java
@@ -101,7 +101,7 @@
 		Long lastQuery = this.queriedMs.put(suspect, now);
 		this.queriedMs.values().removeIf((at) -> now - at > CrashingRequestDetector.CONFIRMATION_DELAY_MS);
 		if (this.servedRequests.servedSince(suspect, sinceMs)) {
-			clearSuspect(suspect);
+			clearSuspect(suspect, "own replies");
 		}
 		else if (lastQuery == null || now - lastQuery > CrashingRequestDetector.CONFIRMATION_DELAY_MS) {
 			this.distributor.sendDown(CrashMessageCodec.encodeQuery(suspect, sinceMs, now));
@@ -161,22 +161,31 @@
 	@Override
 	public void onServed(Fingerprint fingerprint) {
 		this.servedRequests.add(fingerprint, this.loop.nowMs());
-		clearSuspect(fingerprint);
+		clearSuspect(fingerprint, "own replies");
 	}
 
 	// Forwarded once by each VM that was queried or has reported the request.
-	private void clearSuspect(Fingerprint fingerprint) {
+	private void clearSuspect(Fingerprint fingerprint, String source) {
 		boolean reported = this.reports.removeSuspect(fingerprint);
 		boolean queried = this.queriedMs.remove(fingerprint) != null;
 		if (!reported && !queried) {
 			return;
 		}
 		if (this.distributor.collectsReports()) {
+			logCleared(fingerprint, source);
 			this.detector.onCleared(fingerprint, this.loop.nowMs());
 		}
 		this.distributor.sendUp(CrashMessageCodec.encodeCleared(fingerprint));
 	}
 
+	private void logCleared(Fingerprint fingerprint, String source) {
+		int crashes = this.detector.crashCount(fingerprint);
+		if (crashes > 0) {
+			this.log.event(EventCode.CRASH_SUSPECT_CLEARED, "fingerprint", fingerprint.shortText(), "ends", crashes,
+					"by", source);
+		}
+	}
+
 	/**
 	 * Send reports to a new source, and drop expired quarantine entries. Must be called
 	 * periodically.
@@ -195,8 +204,9 @@
 	public void onMessage(String from, Envelope message) {
 		switch (message.getBodyCase()) {
 			case CRASH_REPORT -> onReport(from, CrashMessageCodec.decode(message.getCrashReport(), this.loop.nowMs()));
-			case CRASH_CLEARED ->
-				message.getCrashCleared().getFingerprintsList().forEach((text) -> clearSuspect(new Fingerprint(text)));
+			case CRASH_CLEARED -> message.getCrashCleared()
+				.getFingerprintsList()
+				.forEach((text) -> clearSuspect(new Fingerprint(text), from));
 			case CRASH_QUESTION -> onQuery(message.getCrashQuestion());
 			case QUARANTINE_NOTICE ->
 				message.getQuarantineNotice().getRequestsList().forEach((request) -> onNotice(from, request));
--- a/node/src/main/java/org/tallycart/node/crash/InterruptedRequest.java
+++ b/node/src/main/java/org/tallycart/node/crash/InterruptedRequest.java
@@ -1,5 +1,6 @@
 package org.tallycart.node.crash;
 
+import org.tallycart.core.crash.ContentFingerprints;
 import org.tallycart.core.crash.Suspect;
 
 /**
@@ -29,7 +30,8 @@
 
 	@Override
 	public String toString() {
-		return this.request.requestId() + ":" + this.request.fingerprint().shortText() + ":" + this.answeringMs;
+		return this.request.requestId() + ":" + this.request.fingerprint().shortText() + ":" + this.answeringMs + ":"
+				+ ContentFingerprints.shortText(this.request.parts());
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -6,7 +6,7 @@
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
-import org.tallycart.core.crash.Fingerprint;
+import org.tallycart.core.crash.ContentFingerprints;
 import org.tallycart.core.serving.CallerLimits;
 import org.tallycart.core.serving.CallerRequest;
 import org.tallycart.core.serving.RequestKind;
@@ -80,13 +80,14 @@
 		}
 		long waitMs = Math.min(request.waitMs().orElse(Long.MAX_VALUE), route.get().timeoutMs());
 		String service = route.get().selectService(request.id().hashCode());
-		RequestPlan plan = new RequestPlan(request, Fingerprint.of(request), route.get(), service, Optional.empty(),
-				workspace, now, now + waitMs);
+		RequestPlan plan = new RequestPlan(request, ContentFingerprints.of(request), route.get(), service,
+				Optional.empty(), workspace, now, now + waitMs);
 		this.context.log()
 			.request(EventCode.REQUEST_ACCEPTED, request.id(), "route", route.get().name(), "version",
 					current.version(), "service", service, "wait_ms", waitMs, "rank", plan.priority().sortKey(),
-					"fingerprint", plan.fingerprint().shortText(), "resumes", request.resumedRequest().orElse("none"),
-					"after_event", request.lastEventId().orElse("none"));
+					"fingerprint", plan.content().request().shortText(), "parts",
+					ContentFingerprints.shortText(plan.content().parts()), "resumes",
+					request.resumedRequest().orElse("none"), "after_event", request.lastEventId().orElse("none"));
 		if (request.resumesStream() && route.get().kind() == RequestKind.STREAMING) {
 			resume(plan, responder);
 		}
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -78,6 +78,8 @@
 
 	private int uncountedRetries;
 
+	private AttemptReason attemptReason = AttemptReason.FIRST;
+
 	private boolean arrivalCounted;
 
 	private long firstEventMs;
@@ -108,8 +110,8 @@
 		});
 		this.deadlineTimer = this.context.loop()
 			.schedule(this.plan.deadlineMs() - RESPONSE_MARGIN_MS - now(), this::onDeadline);
-		this.context.quarantine().addInFlight(this.plan.fingerprint(), this.onQuarantined);
-		if (this.context.quarantine().remainingMs(this.plan.fingerprint(), now()) > 0) {
+		this.context.quarantine().addInFlight(this.plan.content().request(), this.onQuarantined);
+		if (this.context.quarantine().remainingMs(this.plan.content().request(), now()) > 0) {
 			onQuarantined();
 			return;
 		}
@@ -137,7 +139,7 @@
 		}
 		this.mayHaveRun |= this.attempt != null;
 		this.context.metrics().onQuarantined();
-		fail(this.context.quarantine().remainingMs(this.plan.fingerprint(), now()),
+		fail(this.context.quarantine().remainingMs(this.plan.content().request(), now()),
 				"quarantined: upstreams that ran the request have crashed");
 	}
 
@@ -182,8 +184,8 @@
 					upstream.entry().softwareVersion(), "domain", upstream.entry().failureDomain(), "cold_ms",
 					upstream.remainingColdMs(now()), "limit", this.context.statements().limitText(upstream.entry()),
 					"accepts_in_ms", this.context.statements().acceptsInMs(upstream.entry()), "send", this.attempts,
-					"in_flight", upstream.inFlight(), "error_rate", upstream.errorRate(), "left_ms", remainingMs,
-					"session", session(), "fetch_from",
+					"reason", this.attemptReason, "in_flight", upstream.inFlight(), "error_rate", upstream.errorRate(),
+					"left_ms", remainingMs, "session", session(), "fetch_from",
 					choice.fetchFrom().map((from) -> from.entry().id()).orElse("none"), "fetch_software",
 					choice.fetchFrom().map((from) -> from.entry().softwareVersion()).orElse("none"), "after_event",
 					this.lastEventId.orElse("none"));
@@ -278,7 +280,7 @@
 	@Override
 	public void onStreamEnd(Attempt endedAttempt, byte[] remainder, ReplyEnd end) {
 		this.context.metrics().onReplyEnded(end);
-		this.context.crashDetector().onServed(this.plan.fingerprint());
+		this.context.crashDetector().onServed(this.plan.content().request());
 		this.responder.write(remainder);
 		this.responder.end();
 		finish("stream_complete", EventCode.REQUEST_ANSWERED, "stream", "complete", "first_ms", this.firstEventMs,
@@ -291,7 +293,7 @@
 		logReply(endedAttempt, "status " + head.status() + ", ended by " + end);
 		boolean failed = head.status() >= MIN_ERROR_STATUS;
 		if (!failed) {
-			this.context.crashDetector().onServed(this.plan.fingerprint());
+			this.context.crashDetector().onServed(this.plan.content().request());
 		}
 		else {
 			this.mayHaveRun = true;
@@ -329,6 +331,7 @@
 			}
 			case INPUT_GONE -> {
 				this.attempts--;
+				this.attemptReason = AttemptReason.INPUT_GONE;
 				this.picker.allowAgain(endedAttempt.upstream().entry().id());
 				if (!this.stages.restart()) {
 					fail("stage results no longer exist");
@@ -353,6 +356,7 @@
 			return false;
 		}
 		this.uncountedRetries++;
+		this.attemptReason = AttemptReason.NOT_CONNECTED;
 		return true;
 	}
 
@@ -361,6 +365,7 @@
 			return false;
 		}
 		boolean granted = this.context.retryBudgets().tryAcquire(this.plan.service());
+		this.attemptReason = AttemptReason.RETRY;
 		if (!granted) {
 			this.context.metrics().onRetryDenied();
 			this.context.log()
@@ -431,7 +436,7 @@
 		}
 		this.finished = true;
 		this.picker.stop();
-		this.context.quarantine().removeInFlight(this.plan.fingerprint(), this.onQuarantined);
+		this.context.quarantine().removeInFlight(this.plan.content().request(), this.onQuarantined);
 		if (this.deadlineTimer != null) {
 			this.deadlineTimer.cancel(false);
 		}
--- a/node/src/main/java/org/tallycart/node/request/RequestPlan.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestPlan.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import org.tallycart.core.crash.Fingerprint;
+import org.tallycart.core.crash.ContentFingerprints;
 import org.tallycart.core.crash.Suspect;
 import org.tallycart.core.serving.CallerRequest;
 import org.tallycart.core.serving.RequestPriority;
@@ -14,7 +14,7 @@
  * Decisions made when a request arrives, based on one version of the configuration.
  *
  * @param request the request
- * @param fingerprint identifies the content and the caller, whatever the request id
+ * @param content identifies the content of the request, whatever its id
  * @param route the matching route
  * @param service the service that runs it
  * @param softwareVersion the version that began the stream, if the caller resumes one
@@ -23,7 +23,7 @@
  * @param deadlineMs when the response has to be complete, on the monotonic clock
  * @since 0.1
  */
-public record RequestPlan(CallerRequest request, Fingerprint fingerprint, Route route, String service,
+public record RequestPlan(CallerRequest request, ContentFingerprints content, Route route, String service,
 		Optional<String> softwareVersion, Optional<Workspace> workspace, long arrivedMs, long deadlineMs) {
 
 	/**
@@ -32,7 +32,7 @@
 	 * @return the plan
 	 */
 	RequestPlan resumedAt(StreamOrigin origin) {
-		return new RequestPlan(this.request, this.fingerprint, this.route, origin.service(),
+		return new RequestPlan(this.request, this.content, this.route, origin.service(),
 				Optional.of(origin.softwareVersion()), this.workspace, this.arrivedMs, this.deadlineMs);
 	}
 
@@ -45,7 +45,7 @@
 	}
 
 	Suspect asSuspect(long sentMs) {
-		return new Suspect(this.fingerprint, this.request.id(), sentMs);
+		return new Suspect(this.content.request(), this.content.parts(), this.request.id(), sentMs);
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/request/StageExecution.java
+++ b/node/src/main/java/org/tallycart/node/request/StageExecution.java
@@ -105,7 +105,7 @@
 			PieceId id = new PieceId(this.plan.request().id(), stage, piece);
 			this.pending.add(id);
 			PieceJob job = PieceJob.builder(id, spec.service())
-				.fingerprint(this.plan.fingerprint())
+				.fingerprint(this.plan.content().request())
 				.source(this.plan.request().pieceKey(), inputs)
 				.dueBy(objectiveMs(stage), deadlineMs(stage))
 				.priority(this.plan.priority().sortKey())
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -160,7 +160,7 @@
 			"The operators' orders to send nothing to a failure domain have changed; the detail holds those in force."),
 	/** Requests were interrupted at an upstream. */
 	REQUESTS_CUT(6030, Level.INFO,
-			"Requests were cut off at an upstream; the detail holds whether it has ended, and each request's id, fingerprint and how long it had been answered."),
+			"Requests were cut off at an upstream; the detail holds whether it has ended, and each request's id, fingerprint, how long it had been answered, and the fingerprints of its prompt's parts."),
 	/** A request that crashes upstreams was detected. */
 	CRASHING_REQUEST_FOUND(6031, Level.WARN,
 			"A request was found to crash the upstreams that run it; the detail holds its fingerprint and at how many ends it was."),
@@ -195,6 +195,9 @@
 	/** The software versions of a service have changed. */
 	SOFTWARE_VERSIONS(6042, Level.INFO,
 			"The software versions of a service that are listed have changed and are recorded in the platform's store, or the record could not be read."),
+	/** Suspects of crashes were cleared. */
+	CRASH_SUSPECT_CLEARED(6043, Level.INFO,
+			"A suspect of crashes was cleared, since a VM has completed it; the detail holds its fingerprint, at how many crashes it was, and how this process learned it."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
