A request whose stage results are gone is sent again within the retry budget, and not with results that were released

Cause: an engine's rejection for results that are gone (409) was answered by new stage work and another send without the budget being asked, though a rejected request counts as an arrival. Most of these sends were bound to be rejected: the results are released when a stream begins, and a stream that broke was sent with them.

A rejection for gone results takes a retry of the budget; a retry after the results were released starts the stages anew first, which also saves the sure rejection. GoneResultsTests, shown failing first: 160 sends beyond the first for 80 requests where 66 are allowed, and one send with released results; both pass, as do NodeEndToEndTests, SoftwareVersionTests, UnframedReplyTests and CrashingRequestTests (61 of 61). That restarted VMs begin with a new budget, the other suspect, is open.

--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -161,6 +161,16 @@
 		}
 	}
 
+	// An engine rejects a request whose results have been released.
+	private void retry() {
+		if (!this.stages.hasReleasedResults()) {
+			startAttempt();
+		}
+		else if (!this.stages.restart()) {
+			fail("stage results no longer exist");
+		}
+	}
+
 	private void startAttempt() {
 		if (this.plan.deadlineMs() - now() < MIN_ATTEMPT_MS) {
 			fail("too little time left for an attempt");
@@ -304,7 +314,7 @@
 		else {
 			this.mayHaveRun = true;
 			if (this.plan.route().repeatable() && tryAcquireRetry()) {
-				startAttempt();
+				retry();
 				return;
 			}
 		}
@@ -337,20 +347,26 @@
 			}
 			case INPUT_GONE -> {
 				this.attempts--;
-				this.attemptReason = AttemptReason.INPUT_GONE;
 				this.picker.allowAgain(endedAttempt.upstream().entry().id());
-				if (!this.stages.restart()) {
-					fail("stage results no longer exist");
-				}
+				retryWithNewResults();
 			}
 			case NOT_RUN, BROKEN -> retryOrFail(failure);
 		}
 	}
 
+	// A rejected request counts as an arrival, so that sending it again is a retry.
+	private void retryWithNewResults() {
+		boolean granted = tryAcquireRetry();
+		this.attemptReason = AttemptReason.INPUT_GONE;
+		if (!granted || !this.stages.restart()) {
+			fail("stage results no longer exist");
+		}
+	}
+
 	private void retryOrFail(AttemptFailure failure) {
 		boolean allowed = !failure.mayHaveRun() || this.plan.route().repeatable();
 		if (allowed && (tryRetryUncounted(failure) || tryAcquireRetry())) {
-			startAttempt();
+			retry();
 		}
 		else {
 			fail(failure.detail());
--- a/node/src/main/java/org/tallycart/node/request/StageExecution.java
+++ b/node/src/main/java/org/tallycart/node/request/StageExecution.java
@@ -51,6 +51,8 @@
 
 	private int restarts;
 
+	private boolean finalResultsReleased;
+
 	private boolean cancelled;
 
 	StageExecution(ServingContext context, RequestPlan plan, CandidateUpstreams candidates, Listener listener) {
@@ -221,13 +223,26 @@
 		withdrawAll();
 		releaseResults();
 		this.stages.reset();
+		this.finalResultsReleased = false;
 		start();
 		return true;
 	}
 
+	/**
+	 * Return whether results that the request reads have been released.
+	 * @return true if the stages have to be restarted before another attempt
+	 */
+	boolean hasReleasedResults() {
+		return this.finalResultsReleased;
+	}
+
 	/** Release all results that have not been released yet. */
 	void releaseResults() {
-		this.stages.takeUnreleased().forEach((stage) -> release(stage, this.stages.results(stage)));
+		for (int stage : this.stages.takeUnreleased()) {
+			List<String> results = this.stages.results(stage);
+			this.finalResultsReleased |= !results.isEmpty() && !this.stages.hasReaders(stage);
+			release(stage, results);
+		}
 	}
 
 	private void release(int stage, List<String> handles) {
