A VM that gets most new connections closes those that it can't serve in time, unread

Callers of a failure domain, or of a region, whose new connections the platform gave to one VM for some seconds were read by it and answered too late. Cause: the event loop accepted sixteen connections at a time and left the others waiting, where neither the VM nor their callers could tell; what was accepted waited behind streams.

The loop now accepts all that wait, and ConnectionAdmission closes new connections before anything is read while two checks in a row, or one and the next, were more than 100 ms late, or after sixteen since the last check. Callers then try another VM at once. At least one is admitted each half second, so that a VM that says that it is ready takes connections; half of the descriptors are for callers. connections_not_admitted counts.

--- a/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
+++ b/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
@@ -14,6 +14,7 @@
  * @param readiness listen address for readiness probes
  * @param peerPort listen port for other VMs; the same on all VMs
  * @param capacity CPU capacity of the VM, in millicores
+ * @param maxDescriptors maximum number of open file descriptors of the process
  * @param store address of the platform's store
  * @param platformLimits limits set by the operators of the platform
  * @param evacuationsEnabled whether operators may evacuate a failure domain, so that no
@@ -21,7 +22,21 @@
  * @since 0.1
  */
 public record NodeSettings(String vm, String ip, String failureDomain, Address callers, Address readiness, int peerPort,
-		int capacity, Address store, PlatformLimits platformLimits, boolean evacuationsEnabled) {
+		int capacity, int maxDescriptors, Address store, PlatformLimits platformLimits, boolean evacuationsEnabled) {
+
+	/**
+	 * Share of the descriptors for connections of callers; the others are for upstreams,
+	 * other VMs and files.
+	 */
+	private static final double CALLER_SHARE = 0.5;
+
+	/**
+	 * Return the maximum number of connections of callers.
+	 * @return the number
+	 */
+	public int maxCallerConnections() {
+		return (int) (this.maxDescriptors * CALLER_SHARE);
+	}
 
 	/**
 	 * Shutdown and retry limits set by the operators of the platform.
--- a/http/src/main/java/org/tallycart/http/event/ConnectionRegistry.java
+++ b/http/src/main/java/org/tallycart/http/event/ConnectionRegistry.java
@@ -37,6 +37,10 @@
 		}
 	}
 
+	int openCount() {
+		return this.open.size();
+	}
+
 	long busyCount() {
 		return this.open.stream().filter(CallerConnection::isBusy).count();
 	}
--- a/http/src/main/java/org/tallycart/http/event/HttpServer.java
+++ b/http/src/main/java/org/tallycart/http/event/HttpServer.java
@@ -1,6 +1,7 @@
 package org.tallycart.http.event;
 
 import java.net.InetSocketAddress;
+import java.util.function.IntPredicate;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -8,6 +9,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vavr.control.Either;
@@ -43,16 +46,37 @@
 	 * @return the server, or an error text if the address cannot be bound
 	 */
 	public static Either<String, HttpServer> start(EventLoopGroup group, Address address, RequestHandler handler) {
+		return start(group, address, handler, (openConnections) -> true);
+	}
+
+	/**
+	 * Bind to an address and start to accept connections. A connection that is not
+	 * admitted is closed before anything is read from it.
+	 * @param group an event loop group of one loop
+	 * @param address the address to bind; port 0 selects a free port
+	 * @param handler the handler of requests
+	 * @param admission decides, given the number of open connections, whether a new one
+	 * is admitted; called on the event loop
+	 * @return the server, or an error text if the address cannot be bound
+	 */
+	public static Either<String, HttpServer> start(EventLoopGroup group, Address address, RequestHandler handler,
+			IntPredicate admission) {
 		ConnectionRegistry registry = new ConnectionRegistry();
 		ServerBootstrap bootstrap = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, acceptAllWaiting())
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel accepted) {
-					accepted.pipeline().addLast(new CallerConnection(handler, registry));
+					if (admission.test(registry.openCount())) {
+						accepted.pipeline().addLast(new CallerConnection(handler, registry));
+					}
+					else {
+						accepted.close();
+					}
 				}
 			});
 		ChannelFuture bound = bootstrap.bind(new InetSocketAddress(address.host(), address.port()))
@@ -63,6 +87,11 @@
 		return Either.right(new HttpServer(bound.channel(), registry));
 	}
 
+	// Connections that are left waiting can't be rejected in favour of another VM.
+	private static RecvByteBufAllocator acceptAllWaiting() {
+		return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG);
+	}
+
 	/**
 	 * Return the bound port.
 	 * @return the port number
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -13,6 +13,7 @@
 import org.tallycart.core.crash.Quarantine;
 import org.tallycart.core.fleet.LeaderRole;
 import org.tallycart.core.ini.Address;
+import org.tallycart.core.overload.ConnectionAdmission;
 import org.tallycart.core.serving.NodeSettings;
 import org.tallycart.core.serving.ServiceSpec;
 import org.tallycart.core.serving.ServingConfig;
@@ -128,6 +129,8 @@
 
 	private final CallerHandler callerHandler;
 
+	private final ConnectionAdmission admission;
+
 	private final WireTransport transport;
 
 	private Optional<Listeners> listeners = Optional.empty();
@@ -173,6 +176,7 @@
 				this.directory, this.coldStarts, this.statements, this.permits, this.pieces, this.streamOrigins,
 				this.budgets, crashes, this.quarantine, this.metrics);
 		this.callerHandler = new CallerHandler(servingContext, this.config);
+		this.admission = new ConnectionAdmission(settings.maxCallerConnections(), this.loop.nowMs());
 	}
 
 	/**
@@ -239,13 +243,22 @@
 		Address peers = new Address(this.settings.ip(), this.settings.peerPort());
 		return this.transport.listen(peers, this.mesh::receive)
 			.flatMap((peerListener) -> HttpServer.start(this.group, this.settings.readiness(), this.readiness)
-				.flatMap((ready) -> HttpServer.start(this.group, this.settings.callers(), this.callerHandler)
+				.flatMap((ready) -> HttpServer
+					.start(this.group, this.settings.callers(), this.callerHandler, this::tryAdmit)
 					.flatMap((callers) -> HttpServer.start(this.group, metricsAddress, new MetricsHandler(this.metrics))
 						.map((metricsServer) -> new Listeners(new Address(this.settings.ip(), peerListener.port()),
 								ready, callers, metricsServer)))))
 			.peek((listeners) -> this.listeners = Optional.of(listeners));
 	}
 
+	private boolean tryAdmit(int openConnections) {
+		boolean admitted = this.admission.tryAdmit(openConnections, this.loop.nowMs());
+		if (!admitted) {
+			this.metrics.onConnectionNotAdmitted();
+		}
+		return admitted;
+	}
+
 	/**
 	 * Return the port for callers.
 	 * @return the port; 0 if the process does not listen yet
@@ -306,6 +319,8 @@
 		this.links.start(this.settings.vm(), this.mesh);
 		this.streamOrigins.start(this.mesh);
 		this.loop.scheduleWithFixedDelay(HOUSEKEEPING_INTERVAL_MS, this::housekeeping);
+		this.loop.scheduleWithFixedDelay(ConnectionAdmission.CHECK_INTERVAL_MS,
+				() -> this.admission.onCheck(this.loop.nowMs()));
 	}
 
 	private void housekeeping() {
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -197,6 +197,11 @@
 		this.registry.counter("connections.refused.status_" + status).inc();
 	}
 
+	/** Count a connection that was closed before its request was read. */
+	public void onConnectionNotAdmitted() {
+		this.registry.counter("connections.not_admitted").inc();
+	}
+
 	/**
 	 * Register a gauge.
 	 * @param name the name of the gauge
--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -132,7 +132,7 @@
 
 	NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
-		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, this.store.address(),
+		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, this.store.address(),
 				new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
 	}
 
