The soak's engines crash on parts of prompts, and most new connections go to one VM for a while

One request in sixty has one of two parts that crash the engine which begins to answer it, unlike each other in all else and beside sound requests with the same key and first part; one fault in six comes with a VM that gets nine of ten new connections.

--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
@@ -31,6 +31,8 @@
 
 	private static final int MAX_PAUSE_MS = 60;
 
+	private static final String PART_PATH = "/stream/part-";
+
 	private static final int TIMEOUT_MS = 2_000;
 
 	private static final int STREAM_TIMEOUT_MS = 5_000;
@@ -40,6 +42,15 @@
 	/** One of this many requests crashes the upstreams that run it. */
 	private static final int CRASHING_INTERVAL = 60;
 
+	/**
+	 * One of this many requests has a part in its prompt that crashes the upstreams which
+	 * begin to answer it.
+	 */
+	private static final int CRASHING_PART_INTERVAL = 60;
+
+	/** One of this many callers keeps its connection while most new ones go to one VM. */
+	private static final int OTHER_VM_INTERVAL = 10;
+
 	/** Statuses that guarantee that the request has not run and will not run. */
 	private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
@@ -76,18 +87,25 @@
 		for (int i = 0; i < CALLERS; i++) {
 			String name = "c" + i;
 			Random random = new Random(seed * CALLERS + i);
-			this.threads.execute(() -> run(name, random));
+			Random partRandom = new Random(~(seed * CALLERS + i));
+			this.threads.execute(() -> run(name, random, partRandom));
 		}
 	}
 
-	private void run(String name, Random random) {
-		HttpClient client = client();
+	private void run(String name, Random random, Random partRandom) {
+		HttpClient keptClient = client();
 		for (int i = 0; !this.stopped; i++) {
 			SoakNode node = this.fleet.nodes().get(random.nextInt(this.fleet.nodes().size()));
 			String kind = List.of("plain", "once", "stream").get(random.nextInt(3));
 			boolean crashing = random.nextInt(CRASHING_INTERVAL) == 0;
 			String path = crashing ? "/stream/" + SoakFleet.CRASHING : "/" + kind + "/x";
-			Optional<Integer> status = call(client, node.callers(), path, name + "-" + i);
+			if (partRandom.nextInt(CRASHING_PART_INTERVAL) == 0) {
+				path = crashingPartPath(partRandom.nextInt(2), name + "-" + i);
+			}
+			Optional<SoakNode> mostConnections = this.fleet.mostConnections()
+				.filter((favoured) -> partRandom.nextInt(OTHER_VM_INTERVAL) > 0);
+			HttpClient client = mostConnections.isPresent() ? client() : keptClient;
+			Optional<Integer> status = call(client, mostConnections.orElse(node).callers(), path, name + "-" + i);
 			if (status.isEmpty() && path.startsWith("/stream/")) {
 				resume(client, path, name + "-" + i, random);
 			}
@@ -95,6 +113,17 @@
 		}
 	}
 
+	/**
+	 * Return the path of a request with a part that crashes upstreams, unlike that of any
+	 * other request.
+	 * @param part the index of the part
+	 * @param name distinguishes the request
+	 * @return the path
+	 */
+	static String crashingPartPath(int part, String name) {
+		return PART_PATH + SoakFleet.CRASHING_PARTS.get(part) + "-" + name;
+	}
+
 	// Resumes a stream of which events were received, at any VM.
 	private void resume(HttpClient client, String path, String begunBy, Random random) {
 		for (int retry = 1; retry <= MAX_RESUMPTIONS && !this.stopped; retry++) {
@@ -185,13 +214,17 @@
 		if (stream) {
 			request.header("X-Tallycart-Model", "m")
 				.header("X-Tallycart-Token-Counts", "900,40")
-				.header("X-Tallycart-Prompt-Prefix", "aa:500,bb:200")
+				.header("X-Tallycart-Prompt-Prefix", "aa:500," + secondPart(path) + ":200,f" + id.hashCode() + ":30")
 				.header("X-Tallycart-Pieces", "2,3")
 				.header("X-Tallycart-Piece-Key", "k");
 		}
 		return request;
 	}
 
+	private static String secondPart(String path) {
+		return path.startsWith(PART_PATH) ? path.substring(PART_PATH.length()).split("-")[0] : "bb";
+	}
+
 	private void check(int status, boolean asExpected, String path, String id) {
 		if (status == 200 && !asExpected) {
 			this.violations.add("misdelivered or incomplete response to " + path + " " + id);
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -50,6 +51,9 @@
 	/** One of this many faults comes with VMs that lose their links to all upstreams. */
 	private static final int LOST_LINKS_INTERVAL = 6;
 
+	/** One of this many faults comes with a VM that gets most new connections. */
+	private static final int UNEVEN_CONNECTIONS_INTERVAL = 6;
+
 	private static final List<UpstreamStandin.Fault> UNFRAMED = Stream.of(UpstreamStandin.Fault.values())
 		.filter(UpstreamStandin.Fault::isUnframed)
 		.toList();
@@ -80,6 +84,8 @@
 
 	private final Random linkRandom;
 
+	private final Random connectionRandom;
+
 	private final Set<SoakNode> withoutLinks = ConcurrentHashMap.newKeySet();
 
 	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(4);
@@ -96,6 +102,7 @@
 		this.unavailabilityRandom = new Random(Long.reverse(seed));
 		this.unframedRandom = new Random(~Long.reverse(seed));
 		this.linkRandom = new Random(Long.reverseBytes(seed));
+		this.connectionRandom = new Random(~Long.reverseBytes(seed));
 	}
 
 	/**
@@ -124,6 +131,9 @@
 			if (this.linkRandom.nextInt(LOST_LINKS_INTERVAL) == 0) {
 				loseLinks();
 			}
+			if (this.connectionRandom.nextInt(UNEVEN_CONNECTIONS_INTERVAL) == 0) {
+				giveMostConnectionsToOneVm();
+			}
 			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
 		}
 		for (Future<?> each : this.undoTasks) {
@@ -205,6 +215,15 @@
 		}
 	}
 
+	private void giveMostConnectionsToOneVm() {
+		List<SoakNode> nodes = this.fleet.nodes();
+		SoakNode node = nodes.get(this.connectionRandom.nextInt(nodes.size()));
+		this.violations.note(node.vm() + " gets most new connections");
+		this.fleet.giveMostConnectionsTo(Optional.of(node));
+		undoAfter(MIN_DURATION_MS + this.connectionRandom.nextInt(MAX_DURATION_MS),
+				() -> this.fleet.giveMostConnectionsTo(Optional.empty()));
+	}
+
 	private void replyUnframed() {
 		List<String> ids = this.fleet.upstreamIds();
 		String upstream = ids.get(this.unframedRandom.nextInt(ids.size()));
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -56,6 +57,9 @@
 	/** Part of a request's target that makes the upstreams running it crash. */
 	static final String CRASHING = "crash";
 
+	/** Parts of prompts that make the engines crash that begin to answer with them. */
+	static final List<String> CRASHING_PARTS = List.of("bad0", "bad1", "calm0", "calm1");
+
 	private static final long REPLACEMENT_DELAY_MS = 1_000;
 
 	private static final String DOMAIN = "d";
@@ -99,6 +103,8 @@
 
 	private final Map<String, FaultProxy.Cut> cuts = new HashMap<>();
 
+	private volatile Optional<SoakNode> mostConnections = Optional.empty();
+
 	private int version;
 
 	SoakFleet(Path folder, int vms) throws IOException {
@@ -139,6 +145,22 @@
 		runningPaths().forEach((path) -> path.heal(node.upstreamHost()));
 	}
 
+	/**
+	 * Give most new connections of callers to one VM.
+	 * @param node the VM; empty if all get as many
+	 */
+	void giveMostConnectionsTo(Optional<SoakNode> node) {
+		this.mostConnections = node;
+	}
+
+	/**
+	 * Return the VM that gets most new connections.
+	 * @return the VM; empty if all get as many
+	 */
+	Optional<SoakNode> mostConnections() {
+		return this.mostConnections;
+	}
+
 	private List<FaultProxy> runningPaths() {
 		return this.upstreamPaths.entrySet()
 			.stream()
@@ -168,6 +190,7 @@
 		upstream.setEventIntervalMs(EVENT_INTERVAL_MS);
 		upstream.setSoftwareVersion("v" + this.upstreams.size() % SOFTWARE_VERSIONS);
 		upstream.stateVersionInEvents();
+		upstream.crashOnParts(Set.copyOf(CRASHING_PARTS), () -> replace(id, service));
 		upstream.crashOn(CRASHING, () -> replace(id, service));
 		this.upstreams.put(id, upstream);
 		this.upstreamPaths.put(id, path);
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.LongStream;
@@ -75,6 +76,18 @@
 
 	private static final int MAX_LATE_CRASHES = 3;
 
+	/** Number of crashes after which a part of prompts must be quarantined. */
+	private static final int CRASHES_OF_PART = 5;
+
+	/** Index of the first part that is used after all faults are cleared. */
+	private static final int FIRST_CALM_PART = 2;
+
+	private static final int CALM_PARTS = 2;
+
+	private static final int UNEVEN_CALLS = 60;
+
+	private static final double UNEVEN_SHARE = 0.95;
+
 	@DataProvider
 	static Object[][] seeds() {
 		long first = Long.getLong("soak.first", 1);
@@ -107,6 +120,8 @@
 				checkBackoff(fleet, callers, violations);
 				checkStatedDraining(fleet, violations);
 				checkCrashing(fleet, callers, violations);
+				checkCrashingParts(fleet, callers, violations);
+				checkUnevenConnections(fleet, callers, violations);
 				checkConfiguration(fleet, callers, violations);
 				checkRollback(fleet, callers, violations);
 				checkListedDraining(fleet, callers, violations);
@@ -236,6 +251,42 @@
 		checkRecovery(fleet, callers, violations, "after-crashes");
 	}
 
+	// Requests with parts that crash engines reach engines at most three more times later
+	// than the settle time after five crashes a part, and sound ones are served.
+	private static void checkCrashingParts(SoakFleet fleet, SoakCallers callers, Violations violations) {
+		int before = fleet.crashesMs().size();
+		for (int i = 0; i < COPIES * CALM_PARTS; i++) {
+			SoakNode node = fleet.nodes().get(i % fleet.nodes().size());
+			String path = SoakCallers.crashingPartPath(FIRST_CALM_PART + i % CALM_PARTS, "calm" + i);
+			callers.countServed(node, path, 1, "crashing-part" + i + "-");
+			SoakCallers.pause(COPY_INTERVAL_MS / CALM_PARTS);
+		}
+		List<Long> crashes = fleet.crashesMs().subList(before, fleet.crashesMs().size());
+		int known = CRASHES_OF_PART * CALM_PARTS;
+		if (crashes.size() < CRASHES_OF_PART) {
+			violations.add("parts that crash upstreams crashed only " + crashes.size());
+			return;
+		}
+		long late = (crashes.size() <= known) ? 0
+				: crashes.stream().filter((at) -> at > crashes.get(known - 1) + SETTLE_MS).count();
+		if (late > MAX_LATE_CRASHES) {
+			violations.add("parts that crash upstreams crashed " + late + " later than " + SETTLE_MS
+					+ " ms after the fifth of each, " + crashes.size() + " in all");
+		}
+		checkRecovery(fleet, callers, violations, "after-parts");
+	}
+
+	// A VM that gets all new connections of all callers serves them.
+	private static void checkUnevenConnections(SoakFleet fleet, SoakCallers callers, Violations violations) {
+		fleet.giveMostConnectionsTo(Optional.of(fleet.nodes().get(0)));
+		SoakCallers.pause(SETTLE_MS);
+		int served = callers.countServed(fleet.nodes().get(0), "/plain/x", UNEVEN_CALLS, "uneven-");
+		fleet.giveMostConnectionsTo(Optional.empty());
+		if (served < UNEVEN_SHARE * UNEVEN_CALLS) {
+			violations.add("a VM with most new connections served " + served + " of " + UNEVEN_CALLS);
+		}
+	}
+
 	private static void checkConfiguration(SoakFleet fleet, SoakCallers callers, Violations violations) {
 		int version = fleet.changeConfig();
 		SoakCallers.pause(ACTIVATION_MS);
