The part detector's report, the record of served requests and the fleet simulation say things once

Found on reading the change again; no behaviour changes. CrashingPartDetector.onReport chose its parts in a conditional expression and looked up the same key twice, ServedRequests.servedSince read the map beside lastServedMs, and the simulation counted what no test read.

--- a/core/src/main/java/org/tallycart/core/crash/CrashingPartDetector.java
+++ b/core/src/main/java/org/tallycart/core/crash/CrashingPartDetector.java
@@ -137,11 +137,15 @@
 		crash.readParts.addAll(report.readParts());
 		report.readParts().stream().filter(crash.uses::containsKey).forEach((part) -> removeUse(part, crash));
 		report.suspects().forEach((suspect) -> add(crash, suspect));
+		return crash.isOfMassEvent() ? List.of() : findNewSuspects(crash, nowMs);
+	}
+
+	private List<Fingerprint> findNewSuspects(Crash crash, long nowMs) {
 		List<Fingerprint> newSuspects = new ArrayList<>();
 		forgetResults();
-		for (Fingerprint part : crash.isOfMassEvent() ? Set.<Fingerprint>of() : crash.uses.keySet()) {
-			if (!this.confirmationDueMs.containsKey(part) && meetsCriteria(part) && this.confirmationDueMs
-				.putIfAbsent(part, nowMs + CrashingRequestDetector.CONFIRMATION_DELAY_MS) == null) {
+		for (Fingerprint part : crash.uses.keySet()) {
+			if (!this.confirmationDueMs.containsKey(part) && meetsCriteria(part)) {
+				this.confirmationDueMs.put(part, nowMs + CrashingRequestDetector.CONFIRMATION_DELAY_MS);
 				newSuspects.add(part);
 			}
 		}
--- a/core/src/main/java/org/tallycart/core/crash/ServedRequests.java
+++ b/core/src/main/java/org/tallycart/core/crash/ServedRequests.java
@@ -53,8 +53,8 @@
 	 * @return true if it was and is still retained
 	 */
 	public boolean servedSince(Fingerprint fingerprint, long sinceMs) {
-		Long lastMs = this.completedMs.get(fingerprint);
-		return lastMs != null && lastMs >= sinceMs;
+		OptionalLong lastMs = lastServedMs(fingerprint);
+		return lastMs.isPresent() && lastMs.getAsLong() >= sinceMs;
 	}
 
 }
--- a/core/src/test/java/org/tallycart/core/crash/CrashingFleetSimulation.java
+++ b/core/src/test/java/org/tallycart/core/crash/CrashingFleetSimulation.java
@@ -73,8 +73,6 @@
 
 	private final Map<String, Integer> crashes = new HashMap<>();
 
-	private final Map<String, Integer> untilKnown = new HashMap<>();
-
 	private final Map<String, Long> thirdCrashMs = new HashMap<>();
 
 	private final Map<String, Long> partKnownMs = new HashMap<>();
@@ -150,11 +148,6 @@
 		return (double) this.soundRejected / Math.max(this.soundSubmitted, 1);
 	}
 
-	// Returns how many crashes a part had caused when it was quarantined at all VMs.
-	int crashesUntilKnown(String part) {
-		return this.crashes.getOrDefault("until known " + part, -1);
-	}
-
 	// Crashes several engines at the same time, regardless of their requests.
 	void crashEngines(int count) {
 		List<Engine> candidates = new ArrayList<>(this.engines);
@@ -225,14 +218,6 @@
 	private void quarantine(List<Fingerprint> confirmed) {
 		this.quarantined.addAll(confirmed);
 		this.engines.forEach((engine) -> engine.runs.removeIf((run) -> run.request.isQuarantined()));
-		this.crashes.forEach((cause, count) -> this.countsUntilKnown(confirmed, cause, count));
-		this.crashes.putAll(this.untilKnown);
-	}
-
-	private void countsUntilKnown(List<Fingerprint> confirmed, String cause, int count) {
-		if (confirmed.contains(new Fingerprint(cause))) {
-			this.untilKnown.put("until known " + cause, count);
-		}
 	}
 
 	private static CrashReport createReport(String incarnation, long endedMs, List<Run> interrupted) {
