Logs tell silent upstreams from broken connections, and what a stopping VM still holds

An attempt that this VM gave up for silence looked like one whose connection broke, and a stop that was over named no request. TC6044 and TC6045 hold for how long an upstream was silent, how much of the answer had come, and how many of the service are silent; TC6047 names each request that is held when a stop ends, and its state. No logic changes: the idle timeout still ends the attempt.

--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
@@ -56,6 +56,10 @@
 
 	private long reportedAtMs;
 
+	private boolean silent;
+
+	private long lastHeardMs;
+
 	private final HashedName name;
 
 	private long warmAtMs;
@@ -178,6 +182,37 @@
 		this.ejectionMs = Math.min(this.ejectionMs * 2, MAX_EJECTION_MS);
 	}
 
+	/**
+	 * Record that the upstream sends nothing on a request for longer than expected.
+	 * @param sinceMs when it last sent something on the request, in monotonic time
+	 */
+	public void onSilent(long sinceMs) {
+		if (sinceMs >= this.lastHeardMs) {
+			this.silent = true;
+		}
+	}
+
+	/**
+	 * Record that the upstream has sent something.
+	 * @param nowMs the current monotonic time, in milliseconds
+	 * @return for how long it was silent, in milliseconds; 0 if it was not
+	 */
+	public long onHeard(long nowMs) {
+		long silentMs = this.silent ? nowMs - this.lastHeardMs : 0;
+		this.silent = false;
+		this.lastHeardMs = nowMs;
+		return silentMs;
+	}
+
+	/**
+	 * Return whether the upstream is silent under a request of this VM.
+	 * @return true from the first request that waits for too long until it sends
+	 * something
+	 */
+	public boolean isSilent() {
+		return this.silent;
+	}
+
 	/**
 	 * Record a load report of the upstream.
 	 * @param updated the report
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -36,6 +36,7 @@
 import org.tallycart.node.piece.PoolContext;
 import org.tallycart.node.piece.ResultReleaser;
 import org.tallycart.node.request.CallerHandler;
+import org.tallycart.node.request.InFlightRequests;
 import org.tallycart.node.request.RetryBudgets;
 import org.tallycart.node.request.ServingContext;
 import org.tallycart.node.statement.PermitService;
@@ -127,6 +128,8 @@
 
 	private final ColdStartLimiter coldStarts;
 
+	private final InFlightRequests inFlight = new InFlightRequests();
+
 	private final CallerHandler callerHandler;
 
 	private final ConnectionAdmission admission;
@@ -174,7 +177,7 @@
 		this.coldStarts = new ColdStartLimiter(settings.vm(), this.mesh::vms, this::coldRequestsPerSecond);
 		ServingContext servingContext = new ServingContext(settings.failureDomain(), this.loop, this.log, this.links,
 				this.directory, this.coldStarts, this.statements, this.permits, this.pieces, this.streamOrigins,
-				this.budgets, crashes, this.quarantine, this.metrics);
+				this.inFlight, this.budgets, crashes, this.quarantine, this.metrics);
 		this.callerHandler = new CallerHandler(servingContext, this.config);
 		this.admission = new ConnectionAdmission(settings.maxCallerConnections(), this.loop.nowMs());
 	}
@@ -393,6 +396,7 @@
 	private void awaitIdle(HttpServer callers, long deadlineMs) {
 		boolean idle = callers.busyConnections() == 0 && this.pieces.idle() && this.links.idle();
 		if (idle || this.loop.nowMs() >= deadlineMs) {
+			this.inFlight.logStopped();
 			this.log.event(EventCode.DRAIN_ENDED, "idle", idle);
 			this.loop.schedule(DRAIN_CHECK_INTERVAL_MS, this.stopped::countDown);
 			return;
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -1,6 +1,7 @@
 package org.tallycart.node.request;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 
@@ -71,6 +72,8 @@
 
 	private long headMs;
 
+	private long lastHeardMs;
+
 	private boolean prefillDone;
 
 	private boolean promptRead;
@@ -86,6 +89,7 @@
 		this.events = new EventSplitter(lastEventId);
 		this.listener = listener;
 		this.startedMs = context.loop().nowMs();
+		this.lastHeardMs = this.startedMs;
 		this.prefillMs = plan.request().prompt().map(PromptCost::prefillMs).orElse(0.0);
 	}
 
@@ -118,6 +122,11 @@
 
 	private void onIdleTimeout() {
 		if (!this.ended) {
+			this.upstream.onSilent(this.lastHeardMs);
+			this.context.log()
+				.request(EventCode.UPSTREAM_SILENT, this.plan.request().id(), "upstream", this.upstream.entry().id(),
+						"silent_ms", this.context.loop().nowMs() - this.lastHeardMs, "answered_ms", answeredMs(),
+						"silent_upstreams", silentUpstreams(), "sought", false);
 			if (this.call != null) {
 				this.call.cancel();
 			}
@@ -126,6 +135,26 @@
 		}
 	}
 
+	// Time since the head of the reply; negative if there is none.
+	private long answeredMs() {
+		return (this.headMs > 0) ? this.context.loop().nowMs() - this.headMs : InterruptedRequest.NOT_ANSWERED;
+	}
+
+	private String silentUpstreams() {
+		List<UpstreamState> all = this.context.directory().activeUpstreams(this.plan.service());
+		return all.stream().filter(UpstreamState::isSilent).count() + "/" + all.size();
+	}
+
+	private void markHeard() {
+		this.lastHeardMs = this.context.loop().nowMs();
+		long silentMs = this.upstream.onHeard(this.lastHeardMs);
+		if (silentMs > 0) {
+			this.context.log()
+				.request(EventCode.UPSTREAM_SPOKE, this.plan.request().id(), "upstream", this.upstream.entry().id(),
+						"silent_ms", silentMs);
+		}
+	}
+
 	@Override
 	public boolean onHead(HttpResponse head) {
 		UpstreamReply decoded = UpstreamCodec.decode(head);
@@ -136,6 +165,7 @@
 						decoded.requestId().get());
 			return false;
 		}
+		markHeard();
 		this.reply = decoded;
 		this.headMs = this.context.loop().nowMs();
 		this.context.statements().onReply(this.upstream.entry(), decoded);
@@ -156,6 +186,7 @@
 		if (head == null || this.ended) {
 			return;
 		}
+		markHeard();
 		if (this.idleTimer != null) {
 			restartIdleTimer(this.idleTimeoutMs);
 		}
@@ -291,9 +322,7 @@
 
 	// Describes this attempt as interrupted, for crash detection.
 	InterruptedRequest interrupted() {
-		long replyingMs = (this.headMs > 0) ? this.context.loop().nowMs() - this.headMs
-				: InterruptedRequest.NOT_ANSWERED;
-		return new InterruptedRequest(this.plan.asSuspect(this.startedMs), replyingMs);
+		return new InterruptedRequest(this.plan.asSuspect(this.startedMs), answeredMs());
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -110,6 +110,7 @@
 		});
 		this.deadlineTimer = this.context.loop()
 			.schedule(this.plan.deadlineMs() - RESPONSE_MARGIN_MS - now(), this::onDeadline);
+		this.context.inFlight().add(this);
 		this.context.quarantine().addInFlight(this.plan.content(), this.onQuarantined);
 		if (this.context.quarantine().remainingMs(this.plan.content(), now()) > 0) {
 			onQuarantined();
@@ -427,6 +428,20 @@
 		}
 	}
 
+	void logStopped() {
+		this.context.log()
+			.request(EventCode.REQUEST_STOPPED, this.plan.request().id(), "progress", progress(), "sends",
+					this.attempts, "after_event", this.lastEventId.orElse("none"), "age_ms",
+					now() - this.plan.arrivedMs(), "told", "nothing");
+	}
+
+	private String progress() {
+		if (this.streaming) {
+			return "streaming";
+		}
+		return (this.attempt != null) ? "sent" : "stages";
+	}
+
 	private void onCallerGone() {
 		finish("caller_gone", EventCode.CALLER_GONE, "sends", this.attempts);
 	}
@@ -458,6 +473,7 @@
 		}
 		this.finished = true;
 		this.picker.stop();
+		this.context.inFlight().remove(this);
 		this.context.quarantine().removeInFlight(this.plan.content(), this.onQuarantined);
 		if (this.deadlineTimer != null) {
 			this.deadlineTimer.cancel(false);
--- a/node/src/main/java/org/tallycart/node/request/ServingContext.java
+++ b/node/src/main/java/org/tallycart/node/request/ServingContext.java
@@ -26,6 +26,7 @@
  * @param permits grants permits for upstreams with a stated limit
  * @param pieces runs pieces of stages
  * @param streamOrigins knows where streams began
+ * @param inFlight the requests that have not ended
  * @param retryBudgets limits retries
  * @param crashDetector detects upstreams that crash while they run requests
  * @param quarantine the requests that are not sent to any upstream
@@ -34,7 +35,7 @@
  */
 public record ServingContext(String failureDomain, EventLoop loop, NodeLog log, HttpCaller http,
 		UpstreamDirectory directory, ColdStartLimiter coldStartLimiter, UpstreamStatements statements,
-		PermitService permits, PieceService pieces, StreamOriginService streamOrigins, RetryBudgets retryBudgets,
-		UpstreamCrashDetector crashDetector, Quarantine quarantine, NodeMetrics metrics) {
+		PermitService permits, PieceService pieces, StreamOriginService streamOrigins, InFlightRequests inFlight,
+		RetryBudgets retryBudgets, UpstreamCrashDetector crashDetector, Quarantine quarantine, NodeMetrics metrics) {
 
 }
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -199,6 +199,18 @@
 	/** Suspects of crashes were cleared. */
 	CRASH_SUSPECT_CLEARED(6043, Level.INFO,
 			"A suspect of crashes was cleared, since a VM has completed it; the detail holds its fingerprint, at how many crashes it was, and how this process learned it."),
+	/** An upstream has fallen silent under a request. */
+	UPSTREAM_SILENT(6044, Level.INFO,
+			"An upstream has sent nothing for a request for longer than expected; the detail holds for how long, how much of the answer it had sent, how many upstreams of the service are silent, and whether another attempt is sought."),
+	/** An upstream that was silent has sent something. */
+	UPSTREAM_SPOKE(6045, Level.INFO,
+			"An upstream that was silent has sent something again; the detail holds for how long it was silent."),
+	/** An attempt at a silent upstream was given up for another one. */
+	ATTEMPT_REPLACED(6046, Level.INFO,
+			"An attempt at a silent upstream was given up, since another attempt is answered; the detail holds both upstreams."),
+	/** A graceful stop ended a request. */
+	REQUEST_STOPPED(6047, Level.WARN,
+			"A graceful stop ended a request that could not be completed; the detail holds how far it had come, and what its caller was told."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
