--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -38,6 +38,8 @@
 			   "priority":0,"service":"plain","max_attempts":2},
 			  {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"slo_ms":200,
 			   "priority":0,"service":"plain","max_attempts":2},
+			  {"name":"long","host":"h","path_prefix":"/long/","kind":"idempotent","timeout_ms":9000,"slo_ms":200,
+			   "priority":0,"service":"plain","max_attempts":2},
 			  {"name":"open","host":"h","path_prefix":"/open/","kind":"idempotent","timeout_ms":3000,"slo_ms":200,
 			   "priority":0,"service":"plain","max_attempts":1,"public":true},
 			  {"name":"stream","host":"h","path_prefix":"/stream/","kind":"streaming","timeout_ms":9000,"slo_ms":3000,
--- /dev/null
+++ b/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
@@ -0,0 +1,289 @@
+package org.tallycart.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.tallycart.core.serving.NodeSettings;
+import org.tallycart.platform.standin.UpstreamStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests for requests whose upstreams fall silent and go on, while the configuration
+ * changes or the VM stops, on real sockets.
+ */
+public class SilentUpstreamRequestTests extends AbstractNodeTests {
+
+	private static final int STREAMS = 8;
+
+	private static final int EVENTS = 12;
+
+	private static final int EVENT_INTERVAL_MS = 60;
+
+	/** Time after which all streams have begun, and none has ended. */
+	private static final int UNDER_WAY_MS = 350;
+
+	/** Longer than the silence after which another attempt is sought. */
+	private static final int SILENCE_MS = 1_400;
+
+	private static final String PIECES = GENERATION + "X-Tallycart-Pieces: 1,1\r\nX-Tallycart-Piece-Key: k\r\n";
+
+	private static final String LAST_CHUNK = "0\r\n\r\n";
+
+	private static final Pattern EVENT_ID = Pattern.compile("id: (\\d+)\n");
+
+	private static final NodeSettings.PlatformLimits NO_RETRIES = new NodeSettings.PlatformLimits(4_000, 0, 10_000, 0);
+
+	private ExecutorService threads = Executors.newCachedThreadPool();
+
+	@Override
+	int vms() {
+		return 1;
+	}
+
+	@BeforeMethod
+	void slowDownStreams() {
+		this.threads = Executors.newCachedThreadPool();
+		this.upstreams.values().forEach((upstream) -> {
+			upstream.setEventCount(EVENTS);
+			upstream.setEventIntervalMs(EVENT_INTERVAL_MS);
+		});
+	}
+
+	@AfterMethod
+	void stopThreads() {
+		this.threads.shutdownNow();
+	}
+
+	private Node node() {
+		return this.nodes.get(0);
+	}
+
+	private Stream<UpstreamStandin> ofService(String service) {
+		return this.upstreams.keySet()
+			.stream()
+			.filter((id) -> id.startsWith("i-" + service))
+			.sorted()
+			.map(this.upstreams::get);
+	}
+
+	private void setSilent(String service, boolean silent) {
+		ofService(service).forEach((upstream) -> upstream.setSilent(silent));
+	}
+
+	private void denyRetries() {
+		NodeSettings settings = settings("vm-0");
+		node().reload(new NodeSettings(settings.vm(), settings.ip(), settings.failureDomain(), settings.callers(),
+				settings.readiness(), settings.peerPort(), settings.capacity(), settings.maxDescriptors(),
+				settings.store(), NO_RETRIES, settings.evacuationsEnabled()));
+		assertTrue(ready(node()));
+	}
+
+	private void changeConfig(int version) {
+		this.store.put("config", "main", String.format(CONFIG, version));
+	}
+
+	private List<Future<String>> begin(int count, String path, String headers) {
+		return IntStream.range(0, count)
+			.mapToObj((i) -> this.threads.submit(() -> request(node(), path, "r" + i, headers)))
+			.toList();
+	}
+
+	private static List<String> responses(List<Future<String>> pending) {
+		List<String> all = new ArrayList<>();
+		for (Future<String> each : pending) {
+			try {
+				all.add(each.get());
+			}
+			catch (InterruptedException | ExecutionException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+		return all;
+	}
+
+	private static void assertWholeStream(String response) {
+		assertTrue(response.endsWith(LAST_CHUNK), response);
+		List<Integer> ids = new ArrayList<>();
+		for (Matcher matcher = EVENT_ID.matcher(response); matcher.find();) {
+			ids.add(Integer.valueOf(matcher.group(1)));
+		}
+		assertEquals(ids, IntStream.rangeClosed(1, EVENTS).boxed().toList(), response);
+	}
+
+	/** What keeps another attempt from being made while an upstream is silent. */
+	private enum Obstacle {
+
+		/** The retry budget is spent. */
+		NO_RETRIES,
+
+		/** The stage results were released, and the workers are silent, too. */
+		SILENT_STAGES,
+
+		/** The only other upstream has no room. */
+		OTHER_FULL,
+
+		/** The only other upstream is down. */
+		OTHER_DOWN
+
+	}
+
+	@DataProvider
+	Object[][] obstacles() {
+		return new Object[][] { { Obstacle.NO_RETRIES, true }, { Obstacle.NO_RETRIES, false },
+				{ Obstacle.SILENT_STAGES, true }, { Obstacle.SILENT_STAGES, false }, { Obstacle.OTHER_FULL, false },
+				{ Obstacle.OTHER_DOWN, false } };
+	}
+
+	// Guards against a stream that is cut at a silent upstream before it is sure that it
+	// can go on elsewhere.
+	@Test(dataProvider = "obstacles", groups = "known-red")
+	void aStreamOutlastsASilentUpstreamThatNoOtherCanReplace(Obstacle obstacle, boolean allSilent) {
+		if (obstacle == Obstacle.NO_RETRIES) {
+			denyRetries();
+		}
+		UpstreamStandin engine = sessionEngine(node());
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		changeConfig(8);
+		List<UpstreamStandin> silent = allSilent ? ofService("engine").toList() : List.of(engine);
+		silent.forEach((upstream) -> upstream.setSilent(true));
+		if (obstacle == Obstacle.SILENT_STAGES) {
+			setSilent("pool", true);
+		}
+		List<UpstreamStandin> others = ofService("engine").filter((upstream) -> !silent.contains(upstream)).toList();
+		if (obstacle == Obstacle.OTHER_FULL) {
+			others.forEach((upstream) -> upstream.setFault(UpstreamStandin.Fault.FULL));
+		}
+		if (obstacle == Obstacle.OTHER_DOWN) {
+			others.forEach((upstream) -> upstream.setFault(UpstreamStandin.Fault.CLOSE));
+		}
+		pause(SILENCE_MS);
+		changeConfig(9);
+		silent.forEach((upstream) -> upstream.setSilent(false));
+		responses(pending).forEach(SilentUpstreamRequestTests::assertWholeStream);
+		setSilent("pool", false);
+	}
+
+	// Guards against an idempotent request that fails since its upstream is silent for a
+	// moment and no retry is allowed.
+	@Test(groups = "known-red")
+	void aPlainRequestOutlastsASilentUpstream() {
+		denyRetries();
+		setSilent("plain", true);
+		List<Future<String>> pending = begin(STREAMS, "/plain/x", KEY);
+		pause(SILENCE_MS);
+		setSilent("plain", false);
+		responses(pending).forEach((response) -> assertTrue(response.startsWith("HTTP/1.1 200"), response));
+	}
+
+	// Guards against a stream that waits for an upstream which is gone without a word.
+	@Test
+	void aStreamGoesOnElsewhereWhenItsUpstreamStaysSilent() {
+		UpstreamStandin engine = sessionEngine(node());
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		engine.setSilent(true);
+		responses(pending).forEach(SilentUpstreamRequestTests::assertWholeStream);
+	}
+
+	// Guards against events that are left out or sent twice when a silent upstream speaks
+	// again while another attempt is under way.
+	@Test(groups = "known-red")
+	void aStreamIsWholeWhenItsUpstreamSpeaksWhileAnotherAttemptWaits() {
+		UpstreamStandin engine = sessionEngine(node());
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		setSilent("engine", true);
+		pause(SILENCE_MS);
+		engine.setSilent(false);
+		responses(pending).forEach(SilentUpstreamRequestTests::assertWholeStream);
+		setSilent("engine", false);
+	}
+
+	// Guards against upstreams that count as failed or crashed, and requests that count
+	// as
+	// suspects, since the upstreams are silent.
+	@Test(groups = "known-red")
+	void silentUpstreamsAndTheirRequestsAreNotAccused() {
+		sessionEngine(node());
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		setSilent("engine", true);
+		setSilent("pool", true);
+		pause(SILENCE_MS);
+		setSilent("engine", false);
+		setSilent("pool", false);
+		responses(pending);
+		String metrics = metrics(node());
+		assertFalse(metrics.contains("upstreams_cut"), metrics);
+		assertFalse(metrics.contains("upstreams_crashed"), metrics);
+	}
+
+	// Guards against callers that hear nothing when a VM stops, since their stage work is
+	// not done.
+	@Test(groups = "known-red")
+	void aStoppingVmRefusesRequestsThatWaitForSilentStageWork() {
+		setSilent("pool", true);
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		stop(node());
+		for (String response : responses(pending)) {
+			assertTrue(response.startsWith("HTTP/1.1 503"), response);
+			assertTrue(response.contains("Retry-After"), response);
+		}
+		assertEquals(runs("r0"), 0);
+	}
+
+	// Guards against callers that hear nothing when a VM stops, since their upstream is
+	// silent.
+	@Test(groups = "known-red")
+	void aStoppingVmAnswersRequestsThatWaitForASilentUpstream() {
+		setSilent("plain", true);
+		List<Future<String>> pending = begin(STREAMS, "/long/x", KEY);
+		pause(UNDER_WAY_MS);
+		stop(node());
+		for (String response : responses(pending)) {
+			assertTrue(response.startsWith("HTTP/1.1 502") || response.startsWith("HTTP/1.1 504"), response);
+		}
+	}
+
+	// Guards against a stop that gives up requests which are answered within the grace
+	// time, since their upstreams are silent for a part of it.
+	@Test
+	void aStoppingVmWaitsForSilentUpstreamsThatGoOnInTime() {
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		setSilent("engine", true);
+		node().drain();
+		pause(SILENCE_MS);
+		setSilent("engine", false);
+		responses(pending).forEach(SilentUpstreamRequestTests::assertWholeStream);
+	}
+
+	private static void stop(Node node) {
+		node.drain();
+		try {
+			node.awaitStopped();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+		node.close();
+	}
+
+}
