A piece of stage work does not fail while the call of a silent worker may complete it

What callers saw: 503 or broken streams, "stages failed: LATE", while the workers of a pool were silent for a second. Cause: a call that is overdue has its pieces queued again for another worker, and from then on the copy in the queue decided: when it expired, was shed, found no worker, or its second call failed, the piece ended, although the first call was in progress and was answered a moment later. A piece whose inputs had been read ended as soon as its call was overdue. Fix: a piece knows which calls it is part of. While one is in progress, a failure takes only the copy out of the queue; the end of the last call decides. A call always ends, since it times out. A stopped dispatcher hands such pieces back only when asked to (handBackRunning).

--- a/core/src/main/java/org/tallycart/core/pool/PendingPiece.java
+++ b/core/src/main/java/org/tallycart/core/pool/PendingPiece.java
@@ -14,6 +14,8 @@
 
 	private final Set<String> failedAt = new HashSet<>();
 
+	private final Set<Long> runningCalls = new HashSet<>();
+
 	private PieceListener listener;
 
 	private int attempts;
@@ -71,8 +73,18 @@
 		return this.attempts;
 	}
 
-	void onAttempt() {
+	void onCall(long number) {
 		this.attempts++;
+		this.runningCalls.add(number);
+	}
+
+	void onCallEnded(long number) {
+		this.runningCalls.remove(number);
+	}
+
+	// A call that is in progress may still complete the piece.
+	boolean isRunning() {
+		return !this.runningCalls.isEmpty();
 	}
 
 	// Reverts the count of a call that the worker never started.
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -21,9 +21,9 @@
  * <p>
  * Invariants: a worker has no more calls than slots; a pending piece is in the queue or
  * in calls, and its listener receives one outcome unless the piece is withdrawn or handed
- * back; no call goes to a worker that is draining, has asked for backoff or is in an
- * evacuated failure domain; a piece is not queued while all workers are draining or in
- * backoff. Not thread-safe.
+ * back; it does not fail while a call that contains it is in progress; no call goes to a
+ * worker that is draining, has asked for backoff or is in an evacuated failure domain; a
+ * piece is not queued while all workers are draining or in backoff. Not thread-safe.
  *
  * @since 0.1
  */
@@ -128,7 +128,31 @@
 	 */
 	public void stop() {
 		this.stopped = true;
-		new ArrayList<>(this.queue).forEach(this::handBack);
+		new ArrayList<>(this.queue).forEach(this::handBackUnlessRunning);
+	}
+
+	private void handBackUnlessRunning(PendingPiece piece) {
+		if (piece.isRunning()) {
+			this.queue.remove(piece);
+		}
+		else {
+			handBack(piece);
+		}
+	}
+
+	/**
+	 * Hand back the pieces whose calls are in progress as well, since this dispatcher
+	 * ends. To be called after {@link #stop()}.
+	 */
+	public void handBackRunning() {
+		for (PendingPiece piece : new ArrayList<>(this.pendingPieces.values())) {
+			if (piece.inputsRead()) {
+				complete(piece, PieceOutcome.notCompleted(PieceOutcome.Status.INPUT_GONE));
+			}
+			else {
+				handBack(piece);
+			}
+		}
 	}
 
 	private void handBack(PendingPiece piece) {
@@ -193,7 +217,7 @@
 		this.callLimiter.onCall(worker.entry());
 		this.lastCallNumber++;
 		List<PieceJob> jobs = selected.stream().map(PendingPiece::job).toList();
-		selected.forEach(PendingPiece::onAttempt);
+		selected.forEach((piece) -> piece.onCall(this.lastCallNumber));
 		this.resultMemory.reserve(worker.entry().incarnation(), resultBytes(jobs));
 		PoolCall call = new PoolCall(this.lastCallNumber, worker.entry(), jobs, nowMs, expectedMs);
 		this.calls.add(call, worker.isKnownIdle());
@@ -257,7 +281,8 @@
 			return;
 		}
 		switch (outcome.status()) {
-			case MADE, LATE, INPUT_GONE -> complete(piece, outcome);
+			case MADE -> complete(piece, outcome);
+			case LATE, INPUT_GONE -> failUnlessRunning(piece, outcome);
 			case NO_ROOM -> {
 				piece.onCallNotStarted();
 				enqueue(piece);
@@ -266,6 +291,16 @@
 		}
 	}
 
+	// A piece that is also part of a call in progress leaves only the queue.
+	private void failUnlessRunning(PendingPiece piece, PieceOutcome outcome) {
+		if (piece.isRunning()) {
+			this.queue.remove(piece);
+		}
+		else {
+			complete(piece, outcome);
+		}
+	}
+
 	/**
 	 * Handle the failure of a call, or an unusable reply to it.
 	 * @param number the number of the call
@@ -290,17 +325,23 @@
 
 	private PoolCall end(long number) {
 		PoolCall call = this.calls.end(number);
+		for (PieceJob job : call.jobs()) {
+			Optional.ofNullable(this.pendingPieces.get(job.id())).ifPresent((piece) -> piece.onCallEnded(number));
+		}
 		this.resultMemory.unreserve(call.worker().incarnation(), resultBytes(call.jobs()));
 		InvariantViolation.requirePresent(this.workersByCall.remove(number), "the call has no worker").onEnd();
 		return call;
 	}
 
 	private void retry(PendingPiece piece, String failedAt, PieceOutcome outcome) {
+		piece.recordFailureAt(failedAt);
+		if (piece.isRunning()) {
+			return;
+		}
 		if (piece.inputsRead()) {
 			complete(piece, PieceOutcome.notCompleted(PieceOutcome.Status.INPUT_GONE));
 			return;
 		}
-		piece.recordFailureAt(failedAt);
 		if (piece.attempts() >= MAX_CALLS) {
 			complete(piece, outcome);
 			return;
@@ -311,7 +352,7 @@
 
 	private void enqueue(PendingPiece piece) {
 		if (this.stopped) {
-			handBack(piece);
+			handBackUnlessRunning(piece);
 		}
 		else if (!this.queue.contains(piece)) {
 			this.queue.add(piece);
@@ -350,7 +391,7 @@
 	// when the pool has capacity.
 	private void shedExcess(long nowMs) {
 		PieceOutcome late = PieceOutcome.notCompleted(PieceOutcome.Status.LATE);
-		queueOrder(nowMs).findExcess(this.queue).forEach((piece) -> complete(piece, late));
+		queueOrder(nowMs).findExcess(this.queue).forEach((piece) -> failUnlessRunning(piece, late));
 	}
 
 	// Pieces queued until a backoff ends would all start at the same moment, and some
@@ -362,7 +403,7 @@
 		long acceptsInMs = this.workers.acceptsInMs();
 		if (acceptsInMs > 0) {
 			long retryMs = (acceptsInMs == UnavailabilityRegistry.NEVER) ? NO_WORKER_RETRY_MS : acceptsInMs;
-			new ArrayList<>(this.queue).forEach((piece) -> complete(piece, PieceOutcome.noWorker(retryMs)));
+			new ArrayList<>(this.queue).forEach((piece) -> failUnlessRunning(piece, PieceOutcome.noWorker(retryMs)));
 		}
 	}
 
@@ -371,7 +412,7 @@
 		double shortestMs = this.spec.expectedMs(1);
 		for (PendingPiece piece : new ArrayList<>(this.queue)) {
 			if (nowMs + shortestMs > piece.job().deadlineMs()) {
-				complete(piece, late);
+				failUnlessRunning(piece, late);
 			}
 		}
 	}
@@ -381,10 +422,7 @@
 			.ifPresent((worker) -> worker.onOverdue(elapsedMs, this.spec.expectedMs(call.jobs().size())));
 		for (PieceJob job : call.jobs()) {
 			PendingPiece piece = this.pendingPieces.get(job.id());
-			if (piece != null && piece.inputsRead()) {
-				complete(piece, PieceOutcome.notCompleted(PieceOutcome.Status.INPUT_GONE));
-			}
-			else if (piece != null && piece.attempts() < MAX_CALLS) {
+			if (piece != null && !piece.inputsRead() && piece.attempts() < MAX_CALLS) {
 				piece.recordFailureAt(call.worker().incarnation());
 				enqueue(piece);
 			}
