An attempt at a silent upstream goes on until another one is answered

What callers saw: streams cut in the middle, 502, and "stages failed: LATE" for requests that had been sent, while sound upstreams were silent for a second, mostly beside changes of the configuration. Cause: the idle timeout closed the connection first. Only then came the retry budget, the stage results (released when the stream began, so they had to be made again), the choice of an upstream and its permit. When one of them failed, the caller lost an answer that was under way. The silent upstream also counted as unreachable, and its requests as suspects of a crash. Retry, stage results, upstream and permit come first; then the second attempt is sent, and the first one ends only when the second is answered. If the first one sends a byte, the search or the second attempt ends, and a retry that was not made is returned. Without a retry, an upstream that is not silent, or time, the first attempt goes on to its deadline. A silent upstream gets no new requests while others answer, is back with its first byte, and neither its error rate nor the crash detection hears of it.

--- /dev/null
+++ b/core/src/main/java/org/tallycart/core/attempt/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The attempts of one request while its upstream is silent.
+ */
+@NullMarked
+package org.tallycart.core.attempt;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
@@ -36,6 +36,13 @@
 	/** Time for which a load report is valid, in milliseconds. */
 	private static final long REPORT_TTL_MS = 1_000;
 
+	/**
+	 * Time for which an upstream counts as silent after a request has waited for it too
+	 * long, in milliseconds. A request that is sent to it later finds out whether it
+	 * still is.
+	 */
+	private static final long SILENCE_TERM_MS = 1_000;
+
 	private final UnavailabilityRegistry unavailability;
 
 	private UpstreamEntry entry;
@@ -56,7 +63,7 @@
 
 	private long reportedAtMs;
 
-	private boolean silent;
+	private long silentUntilMs;
 
 	private long lastHeardMs;
 
@@ -70,6 +77,7 @@
 		this.incarnation = entry.incarnation();
 		this.name = HashedName.of(entry.id());
 		this.warmAtMs = nowMs + entry.coldMs();
+		this.lastHeardMs = nowMs;
 	}
 
 	/**
@@ -116,10 +124,10 @@
 	/**
 	 * Return whether the upstream may receive new requests.
 	 * @param nowMs the current monotonic time, in milliseconds
-	 * @return false if it is draining, backing off or ejected as unreachable
+	 * @return false if it is draining, backing off, ejected as unreachable or silent
 	 */
 	public boolean isUsable(long nowMs) {
-		return acceptsInMs(nowMs) == 0 && nowMs >= this.ejectedUntilMs;
+		return acceptsInMs(nowMs) == 0 && nowMs >= this.ejectedUntilMs && !isSilent(nowMs);
 	}
 
 	/**
@@ -172,8 +180,7 @@
 	}
 
 	/**
-	 * Record that the upstream is unreachable or unresponsive, and eject it for some
-	 * time.
+	 * Record that the upstream is unreachable, and eject it for some time.
 	 * @param nowMs the current monotonic time, in milliseconds
 	 */
 	public void onUnreachable(long nowMs) {
@@ -183,12 +190,14 @@
 	}
 
 	/**
-	 * Record that the upstream sends nothing on a request for longer than expected.
+	 * Record that a request waits for the upstream for longer than expected. The upstream
+	 * counts as silent, but not as failed, unless it has sent something else meanwhile.
 	 * @param sinceMs when it last sent something on the request, in monotonic time
+	 * @param nowMs the current monotonic time, in milliseconds
 	 */
-	public void onSilent(long sinceMs) {
+	public void onSilent(long sinceMs, long nowMs) {
 		if (sinceMs >= this.lastHeardMs) {
-			this.silent = true;
+			this.silentUntilMs = nowMs + SILENCE_TERM_MS;
 		}
 	}
 
@@ -198,19 +207,20 @@
 	 * @return for how long it was silent, in milliseconds; 0 if it was not
 	 */
 	public long onHeard(long nowMs) {
-		long silentMs = this.silent ? nowMs - this.lastHeardMs : 0;
-		this.silent = false;
+		long silentMs = isSilent(nowMs) ? nowMs - this.lastHeardMs : 0;
+		this.silentUntilMs = 0;
 		this.lastHeardMs = nowMs;
 		return silentMs;
 	}
 
 	/**
 	 * Return whether the upstream is silent under a request of this VM.
-	 * @return true from the first request that waits for too long until it sends
-	 * something
+	 * @param nowMs the current monotonic time, in milliseconds
+	 * @return true from the time when a request waits for too long until the upstream
+	 * sends something, or no request waits any more
 	 */
-	public boolean isSilent() {
-		return this.silent;
+	public boolean isSilent(long nowMs) {
+		return nowMs < this.silentUntilMs;
 	}
 
 	/**
--- a/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
+++ b/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
@@ -68,6 +68,14 @@
 		return true;
 	}
 
+	/**
+	 * Return a retry that was acquired and is not made.
+	 * @param acquiredMs when it was acquired, in monotonic time
+	 */
+	public void refund(long acquiredMs) {
+		this.retries.removeLastOccurrence(acquiredMs);
+	}
+
 	private void expire(Deque<Long> times, long nowMs) {
 		while (!times.isEmpty() && nowMs - times.peekFirst() > this.windowMs) {
 			times.pollFirst();
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -62,6 +62,44 @@
 		assertFalse(this.directory.ids().contains("b"));
 	}
 
+	// Guards against new requests at an upstream that is silent, and against one that
+	// stays out although it has gone on.
+	@Test
+	void aSilentUpstreamGetsNoNewRequestsUntilItIsHeard() {
+		state("a").onHeard(1_000);
+		state("a").onSilent(1_000, 2_000);
+		assertEquals(candidates(2_001), List.of("b"));
+		assertEquals(state("a").errorRate(), 0.0);
+		assertEquals(state("a").onHeard(2_200), 1_200);
+		assertEquals(candidates(2_201), List.of("a", "b"));
+	}
+
+	// Guards against upstreams that count as silent since one of their requests waits,
+	// while they answer others.
+	@Test
+	void anUpstreamThatAnswersOtherRequestsIsNotSilent() {
+		state("a").onHeard(1_500);
+		state("a").onSilent(1_000, 2_000);
+		assertEquals(candidates(2_001), List.of("a", "b"));
+	}
+
+	// Guards against a service without upstreams, since all are silent at once.
+	@Test
+	void silentUpstreamsGetNewRequestsWhileThereAreNoOthers() {
+		state("a").onSilent(1_000, 2_000);
+		state("b").onSilent(1_000, 2_000);
+		assertEquals(candidates(2_001), List.of("a", "b"));
+	}
+
+	// Guards against an upstream that no request tries any more, since it was silent
+	// once.
+	@Test
+	void aSilentUpstreamIsTriedAgainOnceNoRequestWaits() {
+		state("a").onSilent(1_000, 2_000);
+		assertEquals(candidates(2_500), List.of("b"));
+		assertEquals(candidates(3_500), List.of("a", "b"));
+	}
+
 	@Test
 	void anUnreachableUpstreamIsEjectedForSomeTime() {
 		this.directory.activeUpstreams("s")
--- a/core/src/test/java/org/tallycart/core/upstream/WindowedRetryBudgetTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/WindowedRetryBudgetTests.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -30,6 +31,19 @@
 		assertTrue(budget.tryAcquire(5, 201 + WINDOW_MS), "the slack of the next window");
 	}
 
+	// Guards against retries that were given up, but use up the budget.
+	@Test
+	void aRetryThatIsNotMadeIsReturned() {
+		WindowedRetryBudget budget = new WindowedRetryBudget(0, WINDOW_MS, 2 / 0.8);
+		assertTrue(budget.tryAcquire(1, 100));
+		assertTrue(budget.tryAcquire(1, 200));
+		assertFalse(budget.tryAcquire(1, 300));
+		budget.refund(100);
+		assertTrue(budget.tryAcquire(1, 300));
+		budget.refund(100);
+		assertFalse(budget.tryAcquire(1, 400));
+	}
+
 	@Test
 	void allVmsTogetherStayWithinTheBudgetInEveryWindow() {
 		Random random = new Random(5);
--- a/http/src/main/java/org/tallycart/http/event/CallFailure.java
+++ b/http/src/main/java/org/tallycart/http/event/CallFailure.java
@@ -15,11 +15,10 @@
 
 		/** The connection could not be established within the timeout. */
 		NOT_CONNECTED,
-		/**
-		 * The connection was closed, or the timeout passed, before the reply was
-		 * complete.
-		 */
+		/** The connection was closed before the reply was complete. */
 		CLOSED,
+		/** The timeout passed before the reply was complete. */
+		TIMED_OUT,
 		/** The received bytes are not a valid reply. */
 		MALFORMED
 
--- a/http/src/main/java/org/tallycart/http/event/FullReplyCall.java
+++ b/http/src/main/java/org/tallycart/http/event/FullReplyCall.java
@@ -58,7 +58,7 @@
 			if (this.call != null) {
 				this.call.cancel();
 			}
-			finish(Either.left(new CallFailure(CallFailure.Kind.CLOSED, true, "no full reply within the timeout")));
+			finish(Either.left(new CallFailure(CallFailure.Kind.TIMED_OUT, true, "no full reply within the timeout")));
 		}
 	}
 
--- a/node/src/main/java/org/tallycart/node/link/RelayMessageCodec.java
+++ b/node/src/main/java/org/tallycart/node/link/RelayMessageCodec.java
@@ -70,12 +70,20 @@
 
 	static RelayFailure encode(CallFailure failure) {
 		return RelayFailure.newBuilder()
-			.setKind(RelayFailure.Kind.valueOf(failure.kind().name()))
+			.setKind(encode(failure.kind()))
 			.setSent(failure.sent())
 			.setDetail(failure.detail())
 			.build();
 	}
 
+	private static RelayFailure.Kind encode(CallFailure.Kind kind) {
+		return switch (kind) {
+			case NOT_CONNECTED -> RelayFailure.Kind.NOT_CONNECTED;
+			case CLOSED, TIMED_OUT -> RelayFailure.Kind.CLOSED;
+			case MALFORMED -> RelayFailure.Kind.MALFORMED;
+		};
+	}
+
 	// A kind that is not known counts as a lost connection.
 	static CallFailure decode(RelayFailure message) {
 		CallFailure.Kind kind = switch (message.getKind()) {
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -116,6 +116,16 @@
 		this.registry.counter("relayed_calls." + role).inc();
 	}
 
+	/** Count an attempt at a silent upstream that was given up for an answered one. */
+	public void onAttemptReplaced() {
+		this.registry.counter("sends.replaced").inc();
+	}
+
+	/** Count a request that a graceful stop ended. */
+	public void onRequestStopped() {
+		this.registry.counter("requests.stopped").inc();
+	}
+
 	/** Count a retry that the retry budget denied. */
 	public void onRetryDenied() {
 		this.registry.counter("sends.repeats_denied").inc();
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -88,6 +88,10 @@
 		this.dispatcher.stop();
 	}
 
+	void handBackRunning() {
+		this.dispatcher.handBackRunning();
+	}
+
 	void resume() {
 		this.dispatcher.resume();
 	}
@@ -150,7 +154,8 @@
 		if (outcome.isLeft()) {
 			CallFailure failure = outcome.getLeft();
 			logEnd(call, failure.kind() + ": " + failure.detail());
-			if (failure.sent()) {
+			// A worker that is only silent has not crashed.
+			if (failure.sent() && failure.kind() != CallFailure.Kind.TIMED_OUT) {
 				call.jobs()
 					.forEach(
 							(job) -> this.context.crashDetector().onInterrupted(call.worker(), interrupted(call, job)));
--- a/node/src/main/java/org/tallycart/node/request/InFlightRequests.java
+++ b/node/src/main/java/org/tallycart/node/request/InFlightRequests.java
@@ -16,6 +16,8 @@
 
 	private final Set<RequestFlow> flows = new LinkedHashSet<>();
 
+	private boolean stopping;
+
 	void add(RequestFlow flow) {
 		this.flows.add(flow);
 	}
@@ -24,10 +26,27 @@
 		this.flows.remove(flow);
 	}
 
-	/** Log how far each request has come, when this VM stops before it has ended. */
-	public void logStopped() {
-		List<RequestFlow> all = new ArrayList<>(this.flows);
-		all.forEach(RequestFlow::logStopped);
+	/**
+	 * Refuse the requests that have not been sent to any upstream, and those that come
+	 * later, since this VM stops before they would be answered.
+	 */
+	public void refuseNotSent() {
+		this.stopping = true;
+		all().forEach(RequestFlow::refuseIfNotSent);
+	}
+
+	/** End all requests, whatever their progress, since this VM stops. */
+	public void stop() {
+		this.stopping = true;
+		all().forEach(RequestFlow::stop);
+	}
+
+	private List<RequestFlow> all() {
+		return new ArrayList<>(this.flows);
+	}
+
+	boolean isStopping() {
+		return this.stopping;
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
+++ b/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
@@ -56,6 +56,10 @@
 		return budget(service).tryAcquire(this.vmCount.getAsInt(), this.loop.nowMs());
 	}
 
+	void refund(String service, long acquiredMs) {
+		budget(service).refund(acquiredMs);
+	}
+
 	private WindowedRetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service, (key) -> new WindowedRetryBudget(this.limits.retryRatio(),
 				this.limits.retryWindowMs(), this.limits.retrySlack()));
--- a/node/src/main/java/org/tallycart/node/request/StageExecution.java
+++ b/node/src/main/java/org/tallycart/node/request/StageExecution.java
@@ -228,6 +228,23 @@
 		return true;
 	}
 
+	/**
+	 * Return whether results are missing that were requested.
+	 * @return true while pieces are pending
+	 */
+	boolean isInProgress() {
+		return !this.pending.isEmpty();
+	}
+
+	/**
+	 * Stop the stages and release all results, so that another attempt needs a restart.
+	 */
+	void discard() {
+		withdrawAll();
+		releaseResults();
+		this.finalResultsReleased = true;
+	}
+
 	/**
 	 * Return whether results that the request reads have been released.
 	 * @return true if the stages have to be restarted before another attempt
--- a/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
+++ b/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.tallycart.core.limit.Permit;
 import org.tallycart.core.upstream.EngineChooser;
@@ -18,8 +19,8 @@
  * upstream has a stated limit.
  * <p>
  * Invariants: the listener gets one callback per pick, synchronously or later, and none
- * after {@link #stop()}; an upstream that was tried is picked again only if there is no
- * other. Not thread-safe: confined to the event loop.
+ * for a pick that was cancelled; an upstream that was tried is picked again only if there
+ * is no other. Not thread-safe: confined to the event loop.
  */
 final class UpstreamPicker {
 
@@ -45,11 +46,13 @@
 
 	private final Listener listener;
 
+	private Supplier<List<UpstreamState>> source;
+
 	private final Set<String> tried = new HashSet<>();
 
 	private final Set<String> denied = new HashSet<>();
 
-	private boolean stopped;
+	private long pickNumber;
 
 	UpstreamPicker(ServingContext context, RequestPlan plan, CandidateUpstreams candidates, Listener listener) {
 		this.context = context;
@@ -57,6 +60,7 @@
 		this.plan = plan;
 		this.candidates = candidates;
 		this.listener = listener;
+		this.source = candidates::now;
 	}
 
 	private long now() {
@@ -65,11 +69,41 @@
 
 	/** Pick an upstream and mark it as tried; the listener gets the result. */
 	void pick() {
+		pickFrom(this.candidates::now);
+	}
+
+	/**
+	 * Pick an upstream that was not tried and is not silent, for an attempt beside
+	 * another one; the listener gets the result.
+	 */
+	void pickHedge() {
+		pickFrom(this::hedgeCandidates);
+	}
+
+	/**
+	 * Return whether there may be an upstream for an attempt beside another one.
+	 * @return false if all have been tried or are silent
+	 */
+	boolean hasHedgeCandidate() {
+		return !hedgeCandidates().isEmpty();
+	}
+
+	private List<UpstreamState> hedgeCandidates() {
+		return this.candidates.now()
+			.stream()
+			.filter((state) -> state.isUsable(now()) && !this.tried.contains(state.entry().id()))
+			.toList();
+	}
+
+	private void pickFrom(Supplier<List<UpstreamState>> source) {
 		this.denied.clear();
+		this.source = source;
+		this.pickNumber++;
 		pickNext();
 	}
 
 	private void pickNext() {
+		long number = this.pickNumber;
 		List<UpstreamState> eligible = eligible();
 		long maxWaitMs = maxWaitMs(eligible);
 		eligible.removeIf((state) -> this.permits.nextPermitInMs(state.entry()) > maxWaitMs);
@@ -79,16 +113,16 @@
 		}
 		else if (this.permits.hasLimit(choice.get().upstream().entry())) {
 			this.permits.acquire(choice.get().upstream().entry(), maxWaitMs,
-					(permit) -> onPermit(choice.get(), permit));
+					(permit) -> onPermit(choice.get(), permit, number));
 		}
 		else {
-			accept(choice.get());
+			accept(choice.get(), number);
 		}
 	}
 
 	// Candidates for which no permit was denied during this pick.
 	private List<UpstreamState> eligible() {
-		List<UpstreamState> eligible = new ArrayList<>(this.candidates.now());
+		List<UpstreamState> eligible = new ArrayList<>(this.source.get());
 		eligible.removeIf((state) -> this.denied.contains(state.entry().id()));
 		return eligible;
 	}
@@ -112,36 +146,36 @@
 		return LeastLoadedChooser.choose(from, this.context.failureDomain(), now());
 	}
 
-	private void onPermit(UpstreamChoice choice, Permit permit) {
+	private void onPermit(UpstreamChoice choice, Permit permit, long number) {
 		if (!permit.granted()) {
-			onDenied(choice);
+			onDenied(choice, number);
 		}
 		else if (permit.waitMs() > 0) {
-			this.context.loop().schedule(permit.waitMs(), () -> acceptIfUsable(choice));
+			this.context.loop().schedule(permit.waitMs(), () -> acceptIfUsable(choice, number));
 		}
 		else {
-			acceptIfUsable(choice);
+			acceptIfUsable(choice, number);
 		}
 	}
 
-	private void acceptIfUsable(UpstreamChoice choice) {
+	private void acceptIfUsable(UpstreamChoice choice, long number) {
 		if (choice.upstream().isUsable(now())) {
-			accept(choice);
+			accept(choice, number);
 		}
 		else {
-			onDenied(choice);
+			onDenied(choice, number);
 		}
 	}
 
-	private void onDenied(UpstreamChoice choice) {
-		this.denied.add(choice.upstream().entry().id());
-		if (!this.stopped) {
+	private void onDenied(UpstreamChoice choice, long number) {
+		if (number == this.pickNumber) {
+			this.denied.add(choice.upstream().entry().id());
 			pickNext();
 		}
 	}
 
-	private void accept(UpstreamChoice choice) {
-		if (!this.stopped) {
+	private void accept(UpstreamChoice choice, long number) {
+		if (number == this.pickNumber) {
 			this.tried.add(choice.upstream().entry().id());
 			this.listener.onPicked(choice);
 		}
@@ -155,9 +189,9 @@
 		this.tried.remove(id);
 	}
 
-	/** Stop picking; a permit that is granted later is not used. */
-	void stop() {
-		this.stopped = true;
+	/** Cancel the pick; a permit that is granted later is not used. */
+	void cancel() {
+		this.pickNumber++;
 	}
 
 	/**
