A VM that stops tells each caller what became of its request, stage work included

What callers saw: connections closed without a word at the end of a stop, for requests that waited for stage work or a silent upstream. Cause: when the grace time was over the process ended with what it held; pieces in calls of silent workers were neither done nor handed over. Fix: requests that no upstream has are refused as not run two seconds before the end, with when to come back; at the end the rest are told that their answer is lost (502), and begun streams are broken off, so that their callers can resume them. Pieces that are still in calls when VMs stop accepting go back to their submitters, which give them to the next dispatcher.

--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -75,6 +75,13 @@
 	/** Reserve before the platform kills the process, in milliseconds. */
 	private static final long KILL_RESERVE_MS = 600;
 
+	/**
+	 * Time before the end of a drain at which requests are refused that no upstream has,
+	 * in milliseconds. Their callers have time for another VM, and few would be answered
+	 * here.
+	 */
+	private static final long REFUSE_NOT_SENT_MS = 2_000;
+
 	/** Interval at which a drain checks for remaining work, in milliseconds. */
 	private static final long DRAIN_CHECK_INTERVAL_MS = 50;
 
@@ -389,14 +396,18 @@
 		this.loop.schedule(ACCEPT_DURING_DRAIN_MS, () -> {
 			callers.stopListening();
 			callers.closeIdle();
+			this.pieces.handBack();
 			awaitIdle(callers, deadlineMs);
 		});
 	}
 
 	private void awaitIdle(HttpServer callers, long deadlineMs) {
+		if (this.loop.nowMs() >= deadlineMs - REFUSE_NOT_SENT_MS) {
+			this.inFlight.refuseNotSent();
+		}
 		boolean idle = callers.busyConnections() == 0 && this.pieces.idle() && this.links.idle();
 		if (idle || this.loop.nowMs() >= deadlineMs) {
-			this.inFlight.logStopped();
+			this.inFlight.stop();
 			this.log.event(EventCode.DRAIN_ENDED, "idle", idle);
 			this.loop.schedule(DRAIN_CHECK_INTERVAL_MS, this.stopped::countDown);
 			return;
--- a/node/src/main/java/org/tallycart/node/piece/PieceService.java
+++ b/node/src/main/java/org/tallycart/node/piece/PieceService.java
@@ -275,6 +275,14 @@
 		this.drivers.stop((service) -> !dispatcher(service).equals(this.vm));
 	}
 
+	/**
+	 * Return the pieces whose calls are still in progress to their submitters, too. To be
+	 * called some time after {@link #handOver()}, when these calls take too long.
+	 */
+	public void handBack() {
+		this.drivers.handBackRunning((service) -> !dispatcher(service).equals(this.vm));
+	}
+
 	@Override
 	public void onPeerFailed(String failed) {
 		for (RemotePiece piece : new ArrayList<>(this.outstanding.values())) {
--- a/node/src/main/java/org/tallycart/node/piece/PoolDrivers.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDrivers.java
@@ -101,6 +101,14 @@
 		});
 	}
 
+	void handBackRunning(Predicate<String> filter) {
+		this.drivers.forEach((service, driver) -> {
+			if (filter.test(service)) {
+				driver.handBackRunning();
+			}
+		});
+	}
+
 	boolean idle() {
 		return this.drivers.values().stream().allMatch(PoolDriver::idle);
 	}
