--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -135,7 +135,7 @@
 	UPSTREAM_UNLISTED(6019, Level.INFO, "The list of upstreams lost an entry."),
 	/** An upstream is unreachable or unresponsive. */
 	UPSTREAM_UNREACHABLE(6020, Level.WARN,
-			"An upstream could not be reached or fell silent; it is left out for a while."),
+			"An upstream could not be reached; it is left out for a while."),
 	/** The readiness of the process changed. */
 	READINESS_CHANGED(6021, Level.INFO, "The process became ready, or is no longer ready."),
 	/** The settings file changed. */
