--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -134,8 +134,7 @@
 	/** An upstream was removed. */
 	UPSTREAM_UNLISTED(6019, Level.INFO, "The list of upstreams lost an entry."),
 	/** An upstream is unreachable or unresponsive. */
-	UPSTREAM_UNREACHABLE(6020, Level.WARN,
-			"An upstream could not be reached; it is left out for a while."),
+	UPSTREAM_UNREACHABLE(6020, Level.WARN, "An upstream could not be reached; it is left out for a while."),
 	/** The readiness of the process changed. */
 	READINESS_CHANGED(6021, Level.INFO, "The process became ready, or is no longer ready."),
 	/** The settings file changed. */
