A piece that was withdrawn and submitted again hears nothing of its earlier calls but a result

A request whose search for another attempt is given up withdraws its pieces and submits them again at the next silence, while calls of the first time are still in progress at silent workers. Cause: the end of a call was applied to the pending piece of the same id, whether or not that piece was part of the call. An earlier call's INPUT_GONE or LATE failed the new piece, its read inputs released inputs that the new piece had yet to read, and its overdue mark queued the new piece a second time while its own call was in progress. And a piece that was withdrawn by the listener of another one during handBackRunning was handed back all the same, and so submitted to the next dispatcher for a request that no longer waited for it. Why it works: a piece knows the numbers of its calls (PendingPiece.runningCalls); the dispatcher applies failures, read inputs and overdue marks only to pieces that are part of the call. A result still completes the new piece, since a piece may be made by any call.

--- a/core/src/main/java/org/tallycart/core/pool/PendingPiece.java
+++ b/core/src/main/java/org/tallycart/core/pool/PendingPiece.java
@@ -78,8 +78,13 @@
 		this.runningCalls.add(number);
 	}
 
-	void onCallEnded(long number) {
-		this.runningCalls.remove(number);
+	boolean isPartOf(long number) {
+		return this.runningCalls.contains(number);
+	}
+
+	// Returns whether the piece was part of the call.
+	boolean onCallEnded(long number) {
+		return this.runningCalls.remove(number);
 	}
 
 	// A call that is in progress may still complete the piece.
--- a/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
+++ b/core/src/main/java/org/tallycart/core/pool/PoolDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -146,6 +147,10 @@
 	 */
 	public void handBackRunning() {
 		for (PendingPiece piece : new ArrayList<>(this.pendingPieces.values())) {
+			// The listener of another piece may have withdrawn it.
+			if (this.pendingPieces.get(piece.job().id()) != piece) {
+				continue;
+			}
 			if (piece.inputsRead()) {
 				complete(piece, PieceOutcome.notCompleted(PieceOutcome.Status.INPUT_GONE));
 			}
@@ -238,6 +243,7 @@
 	 */
 	public List<String> onReply(long number, List<PieceOutcome> outcomes, long nowMs) {
 		PoolCall call = end(number);
+		Set<PendingPiece> ended = endAtPieces(call);
 		InvariantViolation.check(outcomes.size() == call.jobs().size(),
 				"the number of outcomes differs from the number of pieces of the call");
 		this.workers.find(call.worker()).ifPresent((worker) -> updateWorker(worker, call, outcomes, nowMs));
@@ -248,7 +254,7 @@
 				this.resultMemory.store(call.worker().incarnation(), outcomes.get(i).handle(), job.resultBytes(),
 						nowMs + this.spec.handleTtlMs());
 			}
-			onOutcome(call, job, outcomes.get(i), unused);
+			onOutcome(call, job, outcomes.get(i), ended, unused);
 		}
 		return unused;
 	}
@@ -272,16 +278,25 @@
 		handles.forEach(this.resultMemory::release);
 	}
 
-	private void onOutcome(PoolCall call, PieceJob job, PieceOutcome outcome, List<String> unused) {
+	private void onOutcome(PoolCall call, PieceJob job, PieceOutcome outcome, Set<PendingPiece> ended,
+			List<String> unused) {
 		PendingPiece piece = this.pendingPieces.get(job.id());
-		if (piece == null) {
-			if (outcome.status() == PieceOutcome.Status.MADE) {
+		if (outcome.status() == PieceOutcome.Status.MADE) {
+			if (piece != null) {
+				complete(piece, outcome);
+			}
+			else {
 				unused.add(outcome.handle());
 			}
 			return;
 		}
+		if (piece == null || !ended.contains(piece)) {
+			return;
+		}
 		switch (outcome.status()) {
-			case MADE -> complete(piece, outcome);
+			case MADE -> {
+				// Handled above.
+			}
 			case LATE, INPUT_GONE -> failUnlessRunning(piece, outcome);
 			case NO_ROOM -> {
 				piece.onCallNotStarted();
@@ -311,23 +326,37 @@
 		PoolCall call = end(number);
 		this.workers.find(call.worker()).ifPresent((worker) -> worker.onFailure(nowMs));
 		PieceOutcome failed = PieceOutcome.notCompleted(PieceOutcome.Status.FAILED);
+		Set<PendingPiece> ended = endAtPieces(call);
 		for (PieceJob job : call.jobs()) {
 			PendingPiece piece = this.pendingPieces.get(job.id());
-			if (piece != null && started) {
+			if (piece == null || !ended.contains(piece)) {
+				continue;
+			}
+			if (started) {
 				retry(piece, call.worker().incarnation(), failed);
 			}
-			else if (piece != null) {
+			else {
 				piece.onCallNotStarted();
 				enqueue(piece);
 			}
 		}
 	}
 
-	private PoolCall end(long number) {
-		PoolCall call = this.calls.end(number);
+	// Returns the pending pieces that were part of the call. A piece that was withdrawn
+	// and submitted again meanwhile is not.
+	private Set<PendingPiece> endAtPieces(PoolCall call) {
+		Set<PendingPiece> ended = new HashSet<>();
 		for (PieceJob job : call.jobs()) {
-			Optional.ofNullable(this.pendingPieces.get(job.id())).ifPresent((piece) -> piece.onCallEnded(number));
+			PendingPiece piece = this.pendingPieces.get(job.id());
+			if (piece != null && piece.onCallEnded(call.number())) {
+				ended.add(piece);
+			}
 		}
+		return ended;
+	}
+
+	private PoolCall end(long number) {
+		PoolCall call = this.calls.end(number);
 		this.resultMemory.unreserve(call.worker().incarnation(), resultBytes(call.jobs()));
 		InvariantViolation.requirePresent(this.workersByCall.remove(number), "the call has no worker").onEnd();
 		return call;
@@ -375,14 +404,14 @@
 		failExpired(nowMs);
 		shedExcess(nowMs);
 		for (PoolCall call : this.calls.takeInputsRead(nowMs)) {
-			call.jobs().stream().filter(PieceJob::hasLargeInputs).forEach(this::onInputsRead);
+			call.jobs().stream().filter(PieceJob::hasLargeInputs).forEach((job) -> onInputsRead(call, job));
 		}
 		this.calls.takeOverdue(nowMs).forEach((call) -> onOverdue(call, nowMs - call.startedMs()));
 	}
 
-	private void onInputsRead(PieceJob job) {
+	private void onInputsRead(PoolCall call, PieceJob job) {
 		PendingPiece piece = this.pendingPieces.get(job.id());
-		if (piece != null) {
+		if (piece != null && piece.isPartOf(call.number())) {
 			piece.onInputsRead();
 		}
 	}
@@ -422,7 +451,7 @@
 			.ifPresent((worker) -> worker.onOverdue(elapsedMs, this.spec.expectedMs(call.jobs().size())));
 		for (PieceJob job : call.jobs()) {
 			PendingPiece piece = this.pendingPieces.get(job.id());
-			if (piece != null && !piece.inputsRead() && piece.attempts() < MAX_CALLS) {
+			if (piece != null && piece.isPartOf(call.number()) && !piece.inputsRead() && piece.attempts() < MAX_CALLS) {
 				piece.recordFailureAt(call.worker().incarnation());
 				enqueue(piece);
 			}
--- a/core/src/test/java/org/tallycart/core/pool/SilentWorkerTests.java
+++ b/core/src/test/java/org/tallycart/core/pool/SilentWorkerTests.java
@@ -158,4 +158,102 @@
 		assertEquals(this.received, Map.of());
 	}
 
+	private PieceJob job(PieceId id) {
+		return PieceJob.builder(id, "pool")
+			.dueBy(DEADLINE_MS, DEADLINE_MS)
+			.priority(0)
+			.preferredDomain("d", 8_000)
+			.result(8_000, false)
+			.build();
+	}
+
+	@DataProvider
+	Object[][] failures() {
+		return new Object[][] { { PieceOutcome.Status.INPUT_GONE }, { PieceOutcome.Status.LATE },
+				{ PieceOutcome.Status.FAILED }, { PieceOutcome.Status.NO_ROOM } };
+	}
+
+	// Guards against a piece that ends with the failure of a call that was made before it
+	// was withdrawn and submitted again, perhaps with other inputs.
+	@Test(dataProvider = "failures")
+	void aPieceThatIsSubmittedAgainIsNotFailedByAnEarlierCall(PieceOutcome.Status status) {
+		PoolCall silent = callSilentWorker();
+		this.dispatcher.withdraw(PIECE);
+		this.dispatcher.submit(job(PIECE), (id, outcome) -> this.received.put(id, outcome));
+		this.dispatcher.onReply(silent.number(), each(silent, PieceOutcome.notCompleted(status)), OVERDUE_MS);
+		assertEquals(this.received, Map.of());
+		assertEquals(this.dispatcher.queueSize(), 1);
+		setWorkers(worker("silent", false), worker("other", false));
+		PoolCall next = this.dispatcher.nextCall(OVERDUE_MS).orElseThrow();
+		this.dispatcher.onReply(next.number(), each(next, PieceOutcome.completed("x/1")), OVERDUE_MS + 1);
+		assertEquals(this.received, Map.of(PIECE, PieceOutcome.completed("x/1")));
+	}
+
+	// Guards against inputs that are released before they are read, and a call too many,
+	// since an earlier call of a piece that was submitted again goes on.
+	@Test
+	void aPieceThatIsSubmittedAgainIsNotAffectedByAnEarlierCallInProgress() {
+		setWorkers(worker("silent", false));
+		List<PieceId> read = new ArrayList<>();
+		PieceListener listener = new PieceListener() {
+
+			@Override
+			public void onOutcome(PieceId id, PieceOutcome outcome) {
+				SilentWorkerTests.this.received.put(id, outcome);
+			}
+
+			@Override
+			public void onInputsRead(PieceId id) {
+				read.add(id);
+			}
+
+		};
+		PieceJob job = PieceJob.builder(PIECE, "pool")
+			.source("", List.of("input"))
+			.dueBy(DEADLINE_MS, DEADLINE_MS)
+			.priority(0)
+			.preferredDomain("d", 100_000_000)
+			.result(8_000, false)
+			.build();
+		this.dispatcher.submit(job(new PieceId("earlier", 0, 0)), (id, outcome) -> {
+		});
+		PoolCall earlier = this.dispatcher.nextCall(0).orElseThrow();
+		this.dispatcher.onReply(earlier.number(), each(earlier, PieceOutcome.completed("silent/0")), 1);
+		this.dispatcher.submit(job, listener);
+		this.dispatcher.nextCall(1).orElseThrow();
+		this.dispatcher.withdraw(PIECE);
+		this.dispatcher.submit(job, listener);
+		setWorkers(worker("silent", false), worker("other", false));
+		this.dispatcher.nextCall(OVERDUE_MS - 1).orElseThrow();
+		this.dispatcher.tick(OVERDUE_MS);
+		assertEquals(read, List.of());
+		assertEquals(this.dispatcher.queueSize(), 0);
+	}
+
+	// Guards against a piece that is handed back, and so submitted to the next
+	// dispatcher, although its request withdrew it when another piece failed.
+	@Test
+	void aPieceThatIsWithdrawnWhileAnotherOneIsHandedBackIsNotHandedBack() {
+		List<PieceId> ids = List.of(PIECE, new PieceId("r", 0, 1));
+		setWorkers(worker("silent", false));
+		ids.forEach((id) -> this.dispatcher.submit(job(id), new PieceListener() {
+
+			@Override
+			public void onOutcome(PieceId failed, PieceOutcome outcome) {
+				throw new AssertionError(failed + " " + outcome);
+			}
+
+			@Override
+			public void onHandedBack(PieceId handed) {
+				SilentWorkerTests.this.handedBack.add(handed);
+				ids.forEach(SilentWorkerTests.this.dispatcher::withdraw);
+			}
+
+		}));
+		this.dispatcher.nextCall(0).orElseThrow();
+		this.dispatcher.stop();
+		this.dispatcher.handBackRunning();
+		assertEquals(this.handedBack.size(), 1);
+	}
+
 }
