A refusal by a silent upstream does not end the other attempt, nor make a run one "not run"

What callers saw: 503 with a promise that the request has not run, though another upstream was running it; its answer was lost. Cause: any byte of the silent upstream cancelled the other attempt, also the head of a refusal or an error. The cancelled attempt was not recorded as one that may have run, so that the refusal then ended the request as not run. And when the stage work for another attempt failed with its last piece, nothing recorded that the results were released: the next attempt named results that are gone, was rejected with 409, and used up a retry and time. Evidence: aSilentUpstreamThatRefusesInTheEndDoesNotEndTheOtherAttempt got 503 at an upstream that woke with 503; anAttemptAfterFailedStageWorkDoesNotUseReleasedResults counted eight rejections for eight streams. Both failed on. Why it works: only bytes of a success tell the request that the upstream speaks again; a refusal comes as the end of its attempt, after which the other one goes on, or the search for one becomes the retry. A cancelled attempt counts as one that may have run. Failed stage work is discarded, so that the next attempt starts it again. Before and after: SilentUpstreamRequestTests 2 of 15 failed, 15 pass; with NodeEndToEndTests 47 pass.

--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -141,7 +141,8 @@
 		return all.stream().filter((state) -> state.isSilent(now)).count() + "/" + all.size();
 	}
 
-	private void markHeard() {
+	// A refusal or an error does not show that this attempt will be answered.
+	private void markHeard(UpstreamReply head) {
 		this.lastHeardMs = this.context.loop().nowMs();
 		long silentMs = this.upstream.onHeard(this.lastHeardMs);
 		if (silentMs > 0) {
@@ -149,7 +150,9 @@
 				.request(EventCode.UPSTREAM_SPOKE, this.plan.request().id(), "upstream", this.upstream.entry().id(),
 						"silent_ms", silentMs);
 		}
-		this.listener.onHeard(this);
+		if (head.success()) {
+			this.listener.onHeard(this);
+		}
 	}
 
 	@Override
@@ -162,8 +165,8 @@
 						decoded.requestId().get());
 			return false;
 		}
-		markHeard();
 		this.reply = decoded;
+		markHeard(decoded);
 		this.headMs = this.context.loop().nowMs();
 		this.context.statements().onReply(this.upstream.entry(), decoded);
 		decoded.load().ifPresent((load) -> this.upstream.onReport(load, this.context.loop().nowMs()));
@@ -183,7 +186,7 @@
 		if (head == null || this.ended) {
 			return;
 		}
-		markHeard();
+		markHeard(head);
 		restartSilenceTimer(this.silenceLimits.subsequentMs());
 		if (isStream(head)) {
 			markPrefillDone();
@@ -346,7 +349,8 @@
 		boolean onSilent(Attempt attempt);
 
 		/**
-		 * Handle bytes from the upstream, before anything that follows from them.
+		 * Handle bytes of a success from the upstream, before anything that follows from
+		 * them.
 		 * @param attempt the attempt
 		 */
 		void onHeard(Attempt attempt);
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -170,6 +170,7 @@
 			return;
 		}
 		if (this.attempts.current().isPresent()) {
+			this.stages.discard();
 			abandonHedge("stages failed: " + outcome.status());
 		}
 		else {
@@ -262,6 +263,7 @@
 		}
 		this.attempts.hedge().ifPresent((hedge) -> {
 			this.log.onEnded(hedge, "CANCELLED: " + reason);
+			this.mayHaveRun = true;
 			this.attempts.onEnded(hedge);
 			hedge.cancel();
 		});
@@ -423,12 +425,12 @@
 	}
 
 	private void onOneAttemptFailed(AttemptFailure failure) {
+		if (failure.kind() == AttemptFailure.Kind.INPUT_GONE && !this.stages.isInProgress()) {
+			this.stages.discard();
+		}
 		if (this.attempts.current().isEmpty()) {
 			retryInsteadOfHedge();
 		}
-		else if (failure.kind() == AttemptFailure.Kind.INPUT_GONE) {
-			this.stages.discard();
-		}
 	}
 
 	// The hedge that is sought becomes a retry, which may go to any upstream.
@@ -436,7 +438,7 @@
 		this.attempts.stopSeeking();
 		this.picker.cancel();
 		if (!this.stages.isInProgress()) {
-			startAttempt();
+			retry();
 		}
 	}
 
--- a/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -201,6 +203,39 @@
 		responses(pending).forEach(SilentUpstreamRequestTests::assertWholeStream);
 	}
 
+	// Guards against an attempt that is cancelled, and a caller that is told that its
+	// request has not run, since the silent upstream refuses the request in the end.
+	@Test
+	void aSilentUpstreamThatRefusesInTheEndDoesNotEndTheOtherAttempt() {
+		UpstreamStandin silent = this.upstreams.get("i-plain0");
+		silent.setSilent(true);
+		silent.setFault(UpstreamStandin.Fault.FULL);
+		List<Future<String>> pending = begin(STREAMS, "/plain/x", KEY);
+		pause(200);
+		this.upstreams.get("i-plain1").setWorkMs(1_000);
+		pause(500);
+		silent.setSilent(false);
+		responses(pending).forEach((response) -> assertTrue(response.startsWith("HTTP/1.1 200"), response));
+	}
+
+	// Guards against another attempt with stage results that were released, since the
+	// stage work for an earlier one failed.
+	@Test
+	void anAttemptAfterFailedStageWorkDoesNotUseReleasedResults() {
+		Set<String> released = ConcurrentHashMap.newKeySet();
+		this.upstreams.values().forEach((upstream) -> upstream.shareReleasedResults(released));
+		UpstreamStandin engine = sessionEngine(node());
+		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
+		pause(UNDER_WAY_MS);
+		ofService("pool").forEach((pool) -> pool.startBackoff("0.3"));
+		engine.setSilent(true);
+		pause(1_000);
+		ofService("pool").forEach(UpstreamStandin::endBackoff);
+		responses(pending).forEach(SilentUpstreamRequestTests::assertWholeStream);
+		assertEquals(ofService("engine").mapToInt(UpstreamStandin::goneInputCount).sum(), 0);
+		engine.setSilent(false);
+	}
+
 	// Guards against events that are left out or sent twice when a silent upstream speaks
 	// again while another attempt is under way.
 	@Test
