A request that is partly read when a draining server closes idle connections is answered

Cause: closeIdle marked these connections as closing, and a closing connection without a response in progress drops what it receives. Why it works: a connection in the middle of a request is not marked. The request is read, within the time-out of its head, and its response closes the connection, since the server drains.

--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -219,10 +219,18 @@
 		schedule(LINGER_MS, current::close);
 	}
 
-	/** Closes the connection now if it is idle, otherwise after its current request. */
+	/**
+	 * Closes the connection of a draining server now if it is idle, otherwise after its
+	 * current request. A request that is partly read is still read and answered; the
+	 * response closes the connection.
+	 */
 	void closeWhenIdle() {
-		this.closing = true;
-		if (this.responder == null && this.head == null && this.reader.incompleteHeadBytes() == 0) {
+		boolean partlyRead = this.head != null || this.reader.incompleteHeadBytes() > 0;
+		if (this.responder != null) {
+			this.closing = true;
+		}
+		else if (!partlyRead) {
+			this.closing = true;
 			requireContext().close();
 		}
 	}
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -160,6 +160,31 @@
 		}
 	}
 
+	@DataProvider
+	static Object[][] splitRequests() {
+		return new Object[][] { { "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd" },
+				{ "GET /b HTTP/1.1\r\nHo", "st: h\r\n\r\n" } };
+	}
+
+	// Guards against a request that is never answered, and a drain that waits for it in
+	// vain, since a part of it had been read when idle connections were closed.
+	@Test(dataProvider = "splitRequests")
+	void aRequestThatIsPartlyReadWhenIdleConnectionsCloseIsAnswered(String first, String rest) throws Exception {
+		HttpServer server = server();
+		try (Socket socket = connect(server.port())) {
+			write(socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n" + first);
+			readUntil(socket, "/a ");
+			this.group.submit(() -> {
+				server.beginDrain();
+				server.closeIdle();
+			}).sync();
+			write(socket, rest);
+			String response = readUntil(socket, "no such end");
+			assertTrue(response.contains("/b"), response);
+			assertTrue(response.contains("Connection: close"), response);
+		}
+	}
+
 	@Test
 	void aCallerThatReadsNoChunksGetsAResponseThatEndsWithTheConnection() throws Exception {
 		try (Socket socket = connect(server().port())) {
