The test of released stage results waits until its streams have begun

anAttemptAfterFailedStageWorkDoesNotUseReleasedResults failed once in three runs: beside load its requests arrived after the pause, when the workers already refused stage work, and were refused. The checks are the same.

--- a/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
@@ -226,7 +226,9 @@
 		this.upstreams.values().forEach((upstream) -> upstream.shareReleasedResults(released));
 		UpstreamStandin engine = sessionEngine(node());
 		List<Future<String>> pending = begin(STREAMS, "/stream/x", PIECES);
-		pause(UNDER_WAY_MS);
+		await(() -> IntStream.range(0, STREAMS)
+			.allMatch((i) -> ofService("engine").anyMatch((upstream) -> upstream.eventCount("r" + i) > 0)));
+		pause(EVENT_INTERVAL_MS * 3);
 		ofService("pool").forEach((pool) -> pool.startBackoff("0.3"));
 		engine.setSilent(true);
 		pause(1_000);
