Silent upstreams with a stated limit get requests while there are no others

What callers saw: 503 for each new request while all upstreams of a service were silent and had stated limits. Cause: candidates fall back to silent upstreams, but the check after the permit rejected them one after the other, and spent their permits. Fix: after the permit an upstream is accepted if it is still among the candidates of the pick.

--- a/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
+++ b/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
@@ -159,7 +159,7 @@
 	}
 
 	private void acceptIfUsable(UpstreamChoice choice, long number) {
-		if (choice.upstream().isUsable(now())) {
+		if (this.source.get().contains(choice.upstream())) {
 			accept(choice, number);
 		}
 		else {
