A caller that does not read makes no upstream silent; smaller findings of the review

What callers saw: a second run of a stream whose caller read slowly. Cause: nothing is read from the upstream while the caller does not read, and the silence timer went on. Fix: no silence while reading is stopped; the attempt that replaces another one takes the state over. Evidence: aCallerThatDoesNotReadMakesNoUpstreamSilent counted two runs before, one after. With it, found by reading, without tests of their own: a head restarts the silence timer, so that it is not taken for silence just after it; a retry that was sought is also returned when the request ends, and when the clock ticked after it was acquired; a stopping VM hands running pieces back two seconds before its end, not at 2.3 s, when healthy calls may still run.

--- a/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
+++ b/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 
 /**
  * This VM's share of the retry budget of all VMs, over a sliding window: a fraction of
@@ -70,10 +71,16 @@
 
 	/**
 	 * Return a retry that was acquired and is not made.
-	 * @param acquiredMs when it was acquired, in monotonic time
+	 * @param acquiredMs when it was acquired, or just after, in monotonic time
 	 */
 	public void refund(long acquiredMs) {
-		this.retries.removeLastOccurrence(acquiredMs);
+		Iterator<Long> latestFirst = this.retries.descendingIterator();
+		while (latestFirst.hasNext()) {
+			if (latestFirst.next() <= acquiredMs) {
+				latestFirst.remove();
+				return;
+			}
+		}
 	}
 
 	private void expire(Deque<Long> times, long nowMs) {
--- a/core/src/test/java/org/tallycart/core/upstream/WindowedRetryBudgetTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/WindowedRetryBudgetTests.java
@@ -38,7 +38,7 @@
 		assertTrue(budget.tryAcquire(1, 100));
 		assertTrue(budget.tryAcquire(1, 200));
 		assertFalse(budget.tryAcquire(1, 300));
-		budget.refund(100);
+		budget.refund(101);
 		assertTrue(budget.tryAcquire(1, 300));
 		budget.refund(100);
 		assertFalse(budget.tryAcquire(1, 400));
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -77,8 +77,8 @@
 
 	/**
 	 * Time before the end of a drain at which requests are refused that no upstream has,
-	 * in milliseconds. Their callers have time for another VM, and few would be answered
-	 * here.
+	 * and pieces of silent workers are handed back, in milliseconds. Their callers have
+	 * time for another VM, and few would be answered here.
 	 */
 	private static final long REFUSE_NOT_SENT_MS = 2_000;
 
@@ -396,7 +396,6 @@
 		this.loop.schedule(ACCEPT_DURING_DRAIN_MS, () -> {
 			callers.stopListening();
 			callers.closeIdle();
-			this.pieces.handBack();
 			awaitIdle(callers, deadlineMs);
 		});
 	}
@@ -404,6 +403,7 @@
 	private void awaitIdle(HttpServer callers, long deadlineMs) {
 		if (this.loop.nowMs() >= deadlineMs - REFUSE_NOT_SENT_MS) {
 			this.inFlight.refuseNotSent();
+			this.pieces.handBack();
 		}
 		boolean idle = callers.busyConnections() == 0 && this.pieces.idle() && this.links.idle();
 		if (idle || this.loop.nowMs() >= deadlineMs) {
--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -78,6 +78,8 @@
 
 	private boolean promptRead;
 
+	private boolean paused;
+
 	private boolean ended;
 
 	Attempt(ServingContext context, RequestPlan plan, UpstreamChoice choice, Optional<String> lastEventId,
@@ -110,7 +112,7 @@
 		if (this.silenceTimer != null) {
 			this.silenceTimer.cancel(false);
 		}
-		if (!this.ended) {
+		if (!this.ended && !this.paused) {
 			this.silenceTimer = this.context.loop().schedule(ms, this::onSilence);
 		}
 	}
@@ -168,6 +170,8 @@
 		this.reply = decoded;
 		markHeard(decoded);
 		this.headMs = this.context.loop().nowMs();
+		long untilInitialMs = this.startedMs + this.silenceLimits.initialMs() - this.headMs;
+		restartSilenceTimer(Math.max(untilInitialMs, this.silenceLimits.subsequentMs()));
 		this.context.statements().onReply(this.upstream.entry(), decoded);
 		decoded.load().ifPresent((load) -> this.upstream.onReport(load, this.context.loop().nowMs()));
 		if (isStream(decoded)) {
@@ -299,10 +303,18 @@
 		}
 	}
 
-	void pause(boolean paused) {
-		if (this.call != null && !this.ended) {
-			this.call.setPaused(paused);
+	/**
+	 * Stop or go on reading, because the caller reads slowly. Silence does not count
+	 * meanwhile.
+	 * @param value whether reading stops
+	 */
+	void pause(boolean value) {
+		if (this.call == null || this.ended) {
+			return;
 		}
+		this.paused = value;
+		this.call.setPaused(value);
+		restartSilenceTimer(this.silenceLimits.subsequentMs());
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -95,6 +95,8 @@
 
 	private boolean streaming;
 
+	private boolean callerPaused;
+
 	private boolean finished;
 
 	RequestFlow(ServingContext context, RequestPlan plan, Responder responder) {
@@ -111,8 +113,7 @@
 
 	void start() {
 		this.responder.onCallerDisconnected(this::onCallerGone);
-		this.responder
-			.onBackpressure((paused) -> this.attempts.current().ifPresent((attempt) -> attempt.pause(paused)));
+		this.responder.onBackpressure(this::onBackpressure);
 		this.deadlineTimer = this.context.loop()
 			.schedule(this.plan.deadlineMs() - RESPONSE_MARGIN_MS - now(), this::onDeadline);
 		this.context.inFlight().add(this);
@@ -137,6 +138,11 @@
 		this.stages.start();
 	}
 
+	private void onBackpressure(boolean paused) {
+		this.callerPaused = paused;
+		this.attempts.current().ifPresent((attempt) -> attempt.pause(paused));
+	}
+
 	private long now() {
 		return this.context.loop().nowMs();
 	}
@@ -253,9 +259,8 @@
 
 	// The current attempt goes on alone.
 	private void abandonHedge(String reason) {
-		if (this.attempts.stopSeeking()) {
+		if (stopSeeking()) {
 			this.picker.cancel();
-			this.context.retryBudgets().refund(this.plan.service(), this.seekingSinceMs);
 			if (this.stages.isInProgress()) {
 				this.stages.discard();
 			}
@@ -269,6 +274,15 @@
 		});
 	}
 
+	// Returns whether a hedge was sought, for which a retry had been acquired.
+	private boolean stopSeeking() {
+		boolean sought = this.attempts.stopSeeking();
+		if (sought) {
+			this.context.retryBudgets().refund(this.plan.service(), this.seekingSinceMs);
+		}
+		return sought;
+	}
+
 	// Ends the other attempt, whose upstream is silent.
 	private void replaceOther(Attempt answered) {
 		this.attempts.onAnswered(answered).ifPresent((other) -> {
@@ -317,6 +331,9 @@
 	@Override
 	public void onStreamHead(Attempt begunAttempt, UpstreamReply head) {
 		replaceOther(begunAttempt);
+		if (this.callerPaused) {
+			begunAttempt.pause(true);
+		}
 		if (this.streaming) {
 			this.log.onStreamContinued(begunAttempt, this.streamVersion, this.lastEventId);
 		}
@@ -563,6 +580,7 @@
 		}
 		this.finished = true;
 		this.picker.cancel();
+		stopSeeking();
 		this.context.inFlight().remove(this);
 		this.context.quarantine().removeInFlight(this.plan.content(), this.onQuarantined);
 		if (this.deadlineTimer != null) {
--- a/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
@@ -1,5 +1,8 @@
 package org.tallycart.node;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -252,6 +255,36 @@
 		setSilent("engine", false);
 	}
 
+	// Guards against a second attempt at a stream since its caller does not read, so that
+	// nothing is read from its upstream either.
+	@Test
+	void aCallerThatDoesNotReadMakesNoUpstreamSilent() throws IOException {
+		ofService("engine").forEach((engine) -> engine.padEvents(1 << 20));
+		String head = "GET /stream/x HTTP/1.1\r\nHost: h\r\nX-Tallycart-Request-Id: r0\r\n"
+				+ "X-Tallycart-Deadline-Ms: 5000\r\nConnection: close\r\n" + PIECES + "\r\n";
+		try (Socket socket = new Socket("127.0.0.1", node().callersPort())) {
+			socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+			pause(UNDER_WAY_MS + SILENCE_MS);
+			assertWholeStream(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1));
+		}
+		assertEquals(runs("r0"), 1);
+	}
+
+	// Guards against a service without upstreams, since all are silent and have stated a
+	// limit.
+	@Test
+	void silentUpstreamsWithStatedLimitsGetNewRequests() {
+		ofService("plain").forEach((upstream) -> upstream.stateLimit("50"));
+		assertTrue(responses(begin(STREAMS, "/plain/x", KEY)).stream().allMatch((r) -> r.startsWith("HTTP/1.1 200")));
+		setSilent("plain", true);
+		List<Future<String>> pending = new ArrayList<>(begin(STREAMS, "/long/x", KEY));
+		pause(SILENCE_MS / 2);
+		pending.addAll(begin(2, "/long/y", KEY));
+		pause(SILENCE_MS / 2);
+		setSilent("plain", false);
+		responses(pending).forEach((response) -> assertTrue(response.startsWith("HTTP/1.1 200"), response));
+	}
+
 	// Guards against upstreams that count as failed or crashed, and requests that count
 	// as
 	// suspects, since the upstreams are silent.
