A silent cut of the fault proxy answers no new connection

Cause: the stand-in, not the VM. A listener that is cut off holds the first connection that it accepts and fills its queue. If the accepting thread took that first connection only once the queue was full, the queue had room for one more, which the next caller got. UpstreamLinkMonitor then found the upstream connectable, rightly, forgot the earlier failures and waited a second before its next check; each of the nine upstreams could do so once. The SYN that was dropped when the queue was full is repeated only after a second, so the listener saw a timeout and took the queue for full.

The cut now waits until the accepting thread holds a connection before it fills the queue, and fails if the queue can't be filled instead of going on without a cut. LostLinksTests is unchanged.

--- a/standin/src/main/java/org/tallycart/standin/FaultProxyListener.java
+++ b/standin/src/main/java/org/tallycart/standin/FaultProxyListener.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import org.tallycart.core.ini.Address;
 
@@ -28,6 +29,9 @@
 	/** Time after which a connection counts as unanswered, in milliseconds. */
 	private static final int UNANSWERED_MS = 50;
 
+	/** Time in which the accepting thread must hold a connection, in milliseconds. */
+	private static final long HELD_TIMEOUT_MS = 10_000;
+
 	private static final long POLL_MS = 5;
 
 	private final InetSocketAddress address;
@@ -42,7 +46,12 @@
 
 	private volatile boolean holdingData;
 
-	private volatile boolean holdingConnections;
+	/** Guards the two fields that follow. */
+	private final Object connectionLock = new Object();
+
+	private boolean holdingConnections;
+
+	private boolean connectionHeld;
 
 	private volatile boolean closed;
 
@@ -81,9 +90,7 @@
 		while (!this.closed) {
 			try {
 				Socket caller = this.server.accept();
-				while (this.holdingConnections) {
-					Thread.sleep(POLL_MS);
-				}
+				hold();
 				handle(caller);
 			}
 			catch (IOException ex) {
@@ -97,6 +104,43 @@
 		}
 	}
 
+	// Holds the accepted connection while the listener leaves connections unanswered.
+	private void hold() throws InterruptedException {
+		synchronized (this.connectionLock) {
+			while (this.holdingConnections) {
+				this.connectionHeld = true;
+				this.connectionLock.notifyAll();
+				this.connectionLock.wait();
+			}
+			this.connectionHeld = false;
+		}
+	}
+
+	private void setHoldingConnections(boolean holding) {
+		synchronized (this.connectionLock) {
+			this.holdingConnections = holding;
+			this.connectionLock.notifyAll();
+		}
+	}
+
+	private void awaitHeldConnection() {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_TIMEOUT_MS);
+		synchronized (this.connectionLock) {
+			while (!this.connectionHeld) {
+				if (System.nanoTime() >= end) {
+					throw new IllegalStateException("no connection to " + this.address + " is held");
+				}
+				try {
+					this.connectionLock.wait(POLL_MS);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+					throw new IllegalStateException(ex);
+				}
+			}
+		}
+	}
+
 	private void handle(Socket caller) throws IOException {
 		try {
 			this.handler.onAccepted(this, caller);
@@ -133,32 +177,48 @@
 		}
 	}
 
-	// Fills the queue of connections, after which the kernel answers no more of them. A
-	// listener that is closed refuses them.
+	// Fills the queue of connections, after which the kernel answers no more of them. The
+	// accepting thread takes one out of the queue first: one taken later would leave room
+	// for a caller. A listener that is closed refuses connections.
 	private void leaveUnanswered() {
-		this.holdingConnections = true;
-		for (int i = 0; i < 2 * BACKLOG; i++) {
-			Socket filler = new Socket();
-			this.fillers.add(filler);
-			try {
-				filler.connect(this.address, UNANSWERED_MS);
-			}
-			catch (SocketTimeoutException ex) {
-				return;
+		setHoldingConnections(true);
+		fill();
+		if (this.server.isClosed()) {
+			return;
+		}
+		awaitHeldConnection();
+		int count = 0;
+		while (fill()) {
+			count++;
+			if (count > 2 * BACKLOG) {
+				throw new IllegalStateException("the queue of " + this.address + " could not be filled");
 			}
-			catch (IOException ex) {
-				if (this.server.isClosed()) {
-					return;
-				}
-				throw new IllegalStateException("the queue of " + this.address + " could not be filled", ex);
+		}
+	}
+
+	// Opens a connection, and returns whether it was answered.
+	private boolean fill() {
+		Socket filler = new Socket();
+		this.fillers.add(filler);
+		try {
+			filler.connect(this.address, UNANSWERED_MS);
+			return true;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+		catch (IOException ex) {
+			if (this.server.isClosed()) {
+				return false;
 			}
+			throw new IllegalStateException("the queue of " + this.address + " could not be filled", ex);
 		}
 	}
 
 	synchronized void heal() {
 		this.fillers.forEach(FaultProxy::reset);
 		this.fillers.clear();
-		this.holdingConnections = false;
+		setHoldingConnections(false);
 		this.holdingData = false;
 		if (this.server.isClosed() && !this.closed) {
 			try {
@@ -189,7 +249,7 @@
 		closeServer();
 		this.fillers.forEach(FaultProxy::reset);
 		this.fillers.clear();
-		this.holdingConnections = false;
+		setHoldingConnections(false);
 		this.holdingData = false;
 	}
 
