The soak and tests with processes learn upstreams that fall silent and go on

What callers saw: streams broken while their upstreams were silent for a second beside changes of the configuration; no soak and no test with processes had upstreams that go on. SoakFaults lets some or all upstreams of a service fall silent for 0.3 to 2.5 s, with a generator of its own; SoakTests ends with a calm phase in which all engines are silent for 1.2 s and every stream has to be whole.

--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -35,10 +36,15 @@
 
 	private static final int TIMEOUT_MS = 2_000;
 
-	private static final int STREAM_TIMEOUT_MS = 5_000;
+	static final int STREAM_TIMEOUT_MS = 5_000;
 
 	private static final int MAX_RESUMPTIONS = 3;
 
+	private static final long PATIENCE_MS = 1_000;
+
+	/** Long enough that only the VM ends a request, even if it read it late. */
+	private static final long LONG_PATIENCE_MS = 10_000;
+
 	/** One of this many requests crashes the upstreams that run it. */
 	private static final int CRASHING_INTERVAL = 60;
 
@@ -68,26 +74,45 @@
 
 	private final Map<String, Integer> resumptions = new ConcurrentHashMap<>();
 
-	private final ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
+	private final List<UnansweredRequest> unanswered = new CopyOnWriteArrayList<>();
+
+	private final Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+
+	private final ExecutorService threads = Executors.newCachedThreadPool();
+
+	private final boolean crashing;
 
 	private volatile boolean stopped;
 
-	private SoakCallers(SoakFleet fleet, Violations violations) {
+	private SoakCallers(SoakFleet fleet, Violations violations, boolean crashing) {
 		this.fleet = fleet;
 		this.violations = violations;
+		this.crashing = crashing;
 	}
 
 	// Creates callers that send no requests of their own.
 	static SoakCallers idle(SoakFleet fleet, Violations violations) {
-		return new SoakCallers(fleet, violations);
+		return new SoakCallers(fleet, violations, false);
+	}
+
+	// Creates callers none of whose requests crashes upstreams.
+	static SoakCallers sound(SoakFleet fleet, Violations violations, int count) {
+		fleet.stopCrashingParts();
+		SoakCallers callers = new SoakCallers(fleet, violations, false);
+		callers.start(count, 0);
+		return callers;
 	}
 
 	SoakCallers(SoakFleet fleet, Violations violations, long seed) {
-		this(fleet, violations);
-		for (int i = 0; i < CALLERS; i++) {
+		this(fleet, violations, true);
+		start(CALLERS, seed);
+	}
+
+	private void start(int count, long seed) {
+		for (int i = 0; i < count; i++) {
 			String name = "c" + i;
-			Random random = new Random(seed * CALLERS + i);
-			Random partRandom = new Random(~(seed * CALLERS + i));
+			Random random = new Random(seed * count + i);
+			Random partRandom = new Random(~(seed * count + i));
 			this.threads.execute(() -> run(name, random, partRandom));
 		}
 	}
@@ -97,8 +122,8 @@
 		for (int i = 0; !this.stopped; i++) {
 			SoakNode node = this.fleet.nodes().get(random.nextInt(this.fleet.nodes().size()));
 			String kind = List.of("plain", "once", "stream").get(random.nextInt(3));
-			boolean crashing = random.nextInt(CRASHING_INTERVAL) == 0;
-			String path = crashing ? "/stream/" + SoakFleet.CRASHING : "/" + kind + "/x";
+			boolean crashes = random.nextInt(CRASHING_INTERVAL) == 0 && this.crashing;
+			String path = crashes ? "/stream/" + SoakFleet.CRASHING : "/" + kind + "/x";
 			if (partRandom.nextInt(CRASHING_PART_INTERVAL) == 0 && this.fleet.isCrashingPartsSent()) {
 				path = crashingPartPath(partRandom.nextInt(2), name + "-" + i);
 			}
@@ -161,6 +186,7 @@
 	private Optional<Integer> call(HttpClient client, Address address, String path, String id,
 			Optional<ReceivedStream> resumed) {
 		boolean stream = path.startsWith("/stream/");
+		long sentMs = UnansweredRequestRules.nowMs();
 		int timeoutMs = stream ? STREAM_TIMEOUT_MS : TIMEOUT_MS;
 		if (path.startsWith("/once/")) {
 			this.nonIdempotentIds.add(id);
@@ -170,14 +196,19 @@
 			resumed.ifPresent((received) -> request.header("Resumes", received.begunBy())
 				.header("Last-Event-Id", String.valueOf(received.eventCount())));
 			if (stream) {
-				return callStream(client, request.build(), path, id, resumed.orElseGet(() -> new ReceivedStream(id)));
+				Optional<Integer> status = callStream(client, request.build(), path, id,
+						resumed.orElseGet(() -> new ReceivedStream(id)));
+				if (status.isEmpty()) {
+					recordUnanswered(id, path, address, sentMs, true, "the stream was broken");
+				}
+				return status;
 			}
 			HttpResponse<String> response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
 			check(response.statusCode(), response.body().equals("POST " + path + " for " + id), path, id);
 			return Optional.of(response.statusCode());
 		}
 		catch (IOException ex) {
-			// Without a complete response nothing is known about the request.
+			recordUnanswered(id, path, address, sentMs, false, ex.toString());
 			return Optional.empty();
 		}
 		catch (InterruptedException ex) {
@@ -186,6 +217,26 @@
 		}
 	}
 
+	private void recordUnanswered(String id, String path, Address vm, long sentMs, boolean begun, String cause) {
+		this.unanswered.add(new UnansweredRequest(id, path, vm, sentMs, UnansweredRequestRules.nowMs(), begun, cause));
+	}
+
+	/**
+	 * Return the requests that ended without a complete response.
+	 * @return the requests
+	 */
+	List<UnansweredRequest> unanswered() {
+		return List.copyOf(this.unanswered);
+	}
+
+	/**
+	 * Return the statuses of complete responses.
+	 * @return the counts by status
+	 */
+	Map<Integer, Integer> statuses() {
+		return Map.copyOf(this.statuses);
+	}
+
 	private Optional<Integer> callStream(HttpClient client, HttpRequest request, String path, String id,
 			ReceivedStream received) throws IOException, InterruptedException {
 		HttpResponse<InputStream> response = client.send(request, HttpResponse.BodyHandlers.ofInputStream());
@@ -204,9 +255,9 @@
 		return Optional.of(response.statusCode());
 	}
 
-	private static HttpRequest.Builder request(Address address, String path, String id, int timeoutMs, boolean stream) {
+	private HttpRequest.Builder request(Address address, String path, String id, int timeoutMs, boolean stream) {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
-			.timeout(Duration.ofMillis(timeoutMs + 1_000L))
+			.timeout(Duration.ofMillis(timeoutMs + (this.crashing ? PATIENCE_MS : LONG_PATIENCE_MS)))
 			.header("Api-Key", "key")
 			.header("X-Tallycart-Request-Id", id)
 			.header("X-Tallycart-Deadline-Ms", Integer.toString(timeoutMs))
@@ -226,6 +277,7 @@
 	}
 
 	private void check(int status, boolean asExpected, String path, String id) {
+		this.statuses.merge(status, 1, Integer::sum);
 		if (status == 200 && !asExpected) {
 			this.violations.add("misdelivered or incomplete response to " + path + " " + id);
 		}
@@ -311,7 +363,9 @@
 		this.stopped = true;
 		this.threads.shutdown();
 		try {
-			this.threads.awaitTermination(2L * STREAM_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+			if (!this.threads.awaitTermination(2L * STREAM_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+				this.violations.add("requests have not ended twice their timeout after they were sent");
+			}
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -27,6 +27,9 @@
 
 	private static final int MAX_GAP_MS = 500;
 
+	/** More than VMs that stop at a time, each of which blocks a thread. */
+	private static final int UNDO_THREADS = 8;
+
 	private static final int MIN_DURATION_MS = 200;
 
 	private static final int MAX_DURATION_MS = 2_500;
@@ -51,6 +54,13 @@
 	/** One of this many faults comes with VMs that lose their links to all upstreams. */
 	private static final int LOST_LINKS_INTERVAL = 6;
 
+	/** One of this many faults comes with upstreams of a service that fall silent. */
+	private static final int SILENCE_INTERVAL = 4;
+
+	private static final int MIN_SILENCE_MS = 300;
+
+	private static final int MAX_SILENCE_MS = 2_500;
+
 	/** One of this many faults comes with a VM that gets most new connections. */
 	private static final int UNEVEN_CONNECTIONS_INTERVAL = 6;
 
@@ -86,9 +96,11 @@
 
 	private final Random connectionRandom;
 
+	private final Random silenceRandom;
+
 	private final Set<SoakNode> withoutLinks = ConcurrentHashMap.newKeySet();
 
-	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(4);
+	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(UNDO_THREADS);
 
 	private final List<Future<?>> undoTasks = new ArrayList<>();
 
@@ -103,6 +115,7 @@
 		this.unframedRandom = new Random(~Long.reverse(seed));
 		this.linkRandom = new Random(Long.reverseBytes(seed));
 		this.connectionRandom = new Random(~Long.reverseBytes(seed));
+		this.silenceRandom = new Random(Long.rotateLeft(seed, Integer.SIZE));
 	}
 
 	/**
@@ -134,6 +147,9 @@
 			if (this.connectionRandom.nextInt(UNEVEN_CONNECTIONS_INTERVAL) == 0) {
 				giveMostConnectionsToOneVm();
 			}
+			if (this.silenceRandom.nextInt(SILENCE_INTERVAL) == 0) {
+				silence();
+			}
 			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
 		}
 		for (Future<?> each : this.undoTasks) {
@@ -149,9 +165,9 @@
 		SoakNode node = pick(this.fleet.nodes());
 		String upstream = pick(this.fleet.upstreamIds());
 		switch (this.random.nextInt(15)) {
-			case 0 -> kill(node);
+			case 0 -> kill(node, this.random);
 			case 1 -> freeze(node);
-			case 2 -> stop(node);
+			case 2 -> stop(node, this.random);
 			case 3 -> injectPathFault("store path of " + node.vm(), node.storePath());
 			case 4 -> injectPathFault("path of " + upstream, this.fleet.upstreamPath(upstream));
 			case 5, 6 -> injectPathFault("a path between VMs", pick(this.fleet.peerPaths()));
@@ -224,6 +240,30 @@
 				() -> this.fleet.giveMostConnectionsTo(Optional.empty()));
 	}
 
+	// Some or all upstreams of one service fall silent, some of the time beside a change
+	// of the configuration, a stop or a kill.
+	private void silence() {
+		List<String> services = List.of("plain", "engine", "pool");
+		String service = services.get(this.silenceRandom.nextInt(services.size()));
+		List<String> ids = new ArrayList<>(this.fleet.runningUpstreams(service));
+		Collections.shuffle(ids, this.silenceRandom);
+		boolean all = this.silenceRandom.nextBoolean() || ids.isEmpty();
+		List<String> silent = all ? ids : ids.subList(0, 1 + this.silenceRandom.nextInt(ids.size()));
+		int durationMs = MIN_SILENCE_MS + this.silenceRandom.nextInt(MAX_SILENCE_MS - MIN_SILENCE_MS + 1);
+		this.violations.note(silent + " fall silent for " + durationMs + " ms");
+		this.fleet.beginSilence(silent);
+		undoAfter(durationMs, () -> this.fleet.endSilence(silent));
+		SoakNode node = this.fleet.nodes().get(this.silenceRandom.nextInt(this.fleet.nodes().size()));
+		switch (this.silenceRandom.nextInt(6)) {
+			case 0, 1 -> this.violations.note("version " + this.fleet.changeConfig());
+			case 2 -> stop(node, this.silenceRandom);
+			case 3 -> kill(node, this.silenceRandom);
+			default -> {
+				// Nothing else happens.
+			}
+		}
+	}
+
 	private void replyUnframed() {
 		List<String> ids = this.fleet.upstreamIds();
 		String upstream = ids.get(this.unframedRandom.nextInt(ids.size()));
@@ -265,7 +305,11 @@
 	}
 
 	private void undoLater(UndoAction undo) {
-		undoAfter(MIN_DURATION_MS + this.random.nextInt(MAX_DURATION_MS), undo);
+		undoLater(this.random, undo);
+	}
+
+	private void undoLater(Random durations, UndoAction undo) {
+		undoAfter(MIN_DURATION_MS + durations.nextInt(MAX_DURATION_MS), undo);
 	}
 
 	private void undoAfter(int delayMs, UndoAction undo) {
@@ -275,10 +319,10 @@
 		}, delayMs, TimeUnit.MILLISECONDS));
 	}
 
-	private void kill(SoakNode node) {
+	private void kill(SoakNode node, Random durations) {
 		this.violations.note("kill " + node.incarnation());
 		node.process().kill();
-		undoLater(node::restart);
+		undoLater(durations, node::restart);
 	}
 
 	private void freeze(SoakNode node) {
@@ -288,11 +332,11 @@
 		undoLater(process::resume);
 	}
 
-	private void stop(SoakNode node) {
+	private void stop(SoakNode node, Random durations) {
 		ManagedProcess process = node.process();
 		this.violations.note("stop " + node.incarnation());
 		process.requestStop();
-		undoLater(() -> {
+		undoLater(durations, () -> {
 			process.awaitExit();
 			node.restart();
 		});
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -103,6 +104,8 @@
 
 	private final Map<String, FaultProxy.Cut> cuts = new HashMap<>();
 
+	private final Map<String, Integer> silenceCounts = new HashMap<>();
+
 	private volatile Optional<SoakNode> mostConnections = Optional.empty();
 
 	private volatile boolean crashingPartsSent = true;
@@ -172,6 +175,29 @@
 		return this.crashingPartsSent;
 	}
 
+	/**
+	 * Have upstreams fall silent. Silences of an upstream may overlap.
+	 * @param ids the upstreams
+	 */
+	synchronized void beginSilence(Collection<String> ids) {
+		ids.forEach((id) -> {
+			this.silenceCounts.merge(id, 1, Integer::sum);
+			upstream(id).setSilent(true);
+		});
+	}
+
+	/**
+	 * End a silence. An upstream goes on when its last silence has ended.
+	 * @param ids the upstreams
+	 */
+	synchronized void endSilence(Collection<String> ids) {
+		ids.forEach((id) -> {
+			if (this.silenceCounts.merge(id, -1, Integer::sum) == 0) {
+				upstream(id).setSilent(false);
+			}
+		});
+	}
+
 	private List<FaultProxy> runningPaths() {
 		return this.upstreamPaths.entrySet()
 			.stream()
@@ -314,6 +340,10 @@
 		return this.upstreams.keySet().stream().sorted().toList();
 	}
 
+	List<String> runningUpstreams(String service) {
+		return upstreamIds().stream().filter((id) -> service(id).equals(service) && isRunning(id)).toList();
+	}
+
 	FaultProxy upstreamPath(String id) {
 		return this.upstreamPaths.get(id);
 	}
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakNode.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakNode.java
@@ -25,6 +25,9 @@
 	private static final Pattern STARTED = Pattern
 		.compile("name=PROCESS_STARTED .*callers=\\S+:(\\d+) readiness=\\S+:(\\d+) ");
 
+	/** Time in which a VM has to stop, in milliseconds. */
+	static final long GRACE_MS = 5_000;
+
 	private static final List<String> JVM_OPTIONS = List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
 			"-XX:TieredStopAtLevel=1");
 
@@ -67,11 +70,11 @@
 				limits.cpu_share=1
 				limits.cores=1
 				platform.address=%s
-				bounds.grace_s=5
+				bounds.grace_s=%d
 				bounds.retry_ratio=0.2
 				bounds.retry_window_s=10
 				bounds.retry_slack=%d
-				""".formatted(this.vm, this.domain, this.storePath.address(), retrySlack));
+				""".formatted(this.vm, this.domain, this.storePath.address(), GRACE_MS / 1_000, retrySlack));
 	}
 
 	private ManagedProcess launch() throws IOException {
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -3,10 +3,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.LongStream;
@@ -88,6 +92,16 @@
 
 	private static final double UNEVEN_SHARE = 0.95;
 
+	/** Streams that are under way at each VM when the engines fall silent. */
+	private static final int STREAMS_PER_VM = 4;
+
+	private static final int STREAMS_IN_SERIES = 3;
+
+	/** Less than the duration of a stream, divided by the streams per VM. */
+	private static final long STREAM_INTERVAL_MS = 60;
+
+	private static final long SILENCE_MS = 1_200;
+
 	@DataProvider
 	static Object[][] seeds() {
 		long first = Long.getLong("soak.first", 1);
@@ -128,6 +142,7 @@
 				checkRollback(fleet, callers, violations);
 				checkListedDraining(fleet, callers, violations);
 				callers.stop();
+				checkSilences(fleet, callers, violations);
 				callers.checkRuns();
 				violations.note("resumed streams: " + callers.resumptions());
 			}
@@ -336,6 +351,35 @@
 		}
 	}
 
+	// Streams that are under way at all VMs are whole, although all engines are silent
+	// for
+	// a moment beside a change of the configuration.
+	private static void checkSilences(SoakFleet fleet, SoakCallers callers, Violations violations) throws Exception {
+		ExecutorService threads = Executors.newCachedThreadPool();
+		List<Future<Integer>> pending = new ArrayList<>();
+		for (int i = 0; i < STREAMS_PER_VM; i++) {
+			for (SoakNode node : fleet.nodes()) {
+				String name = "silence" + i + node.vm() + "-";
+				pending.add(threads.submit(() -> callers.countServed(node, "/stream/x", STREAMS_IN_SERIES, name)));
+			}
+			SoakCallers.pause(STREAM_INTERVAL_MS);
+		}
+		List<String> engines = fleet.runningUpstreams("engine");
+		fleet.changeConfig();
+		fleet.beginSilence(engines);
+		SoakCallers.pause(SILENCE_MS);
+		fleet.endSilence(engines);
+		int whole = 0;
+		for (Future<Integer> each : pending) {
+			whole += each.get();
+		}
+		threads.shutdown();
+		int sent = pending.size() * STREAMS_IN_SERIES;
+		if (whole < sent) {
+			violations.add("only " + whole + " of " + sent + " streams are whole beside silent engines");
+		}
+	}
+
 	private static boolean awaitCondition(long ms, BooleanSupplier condition) {
 		long end = System.nanoTime() + ms * 1_000_000;
 		while (System.nanoTime() < end) {
