Split the simulation of silent upstreams into files of one job each

Virtual clock, recorder, arrivals, upstream, stage pool, VM, request, attempt and the fleet; no change of behaviour.

--- a/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
@@ -4,11 +4,9 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.tallycart.core.attempt.SilentUpstreamsSimulation.Limits;
-import org.tallycart.core.attempt.SilentUpstreamsSimulation.Outcome;
-import org.tallycart.core.attempt.SilentUpstreamsSimulation.Reaction;
-import org.tallycart.core.attempt.SilentUpstreamsSimulation.Upstream;
-import org.tallycart.core.attempt.SilentUpstreamsSimulation.Vm;
+import org.tallycart.core.attempt.SimulatedRequest.Limits;
+import org.tallycart.core.attempt.SimulatedRequest.Outcome;
+import org.tallycart.core.attempt.SimulatedRequest.Reaction;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -34,8 +32,8 @@
 	 * limit, one more search, the stage work and a connection that fails.
 	 */
 	private static final long CONTINUED_MS = SilentUpstreamsSimulation.DEFAULT_LIMITS.initialMs()
-			+ SilentUpstreamsSimulation.DEFAULT_LIMITS.subsequentMs() + 2 * SilentUpstreamsSimulation.STAGE_MS
-			+ SilentUpstreamsSimulation.CONNECT_TIMEOUT_MS;
+			+ SilentUpstreamsSimulation.DEFAULT_LIMITS.subsequentMs() + 2 * SimulatedStagePool.STAGE_MS
+			+ SimulatedUpstream.CONNECT_TIMEOUT_MS;
 
 	/** Size of fleets for which each kind of silence is combined with each trouble. */
 	private static final int MAX_VMS_OF_ALL_ROWS = Integer.getInteger("silence.rows", 60);
@@ -50,8 +48,8 @@
 		SOME, ALL, STAGES, TOGETHER, SERIES, OVERLAPPING;
 
 		private void begin(SilentUpstreamsSimulation fleet) {
-			List<Upstream> engines = fleet.engines();
-			List<Upstream> all = new ArrayList<>(engines);
+			List<SimulatedUpstream> engines = fleet.engines();
+			List<SimulatedUpstream> all = new ArrayList<>(engines);
 			all.addAll(fleet.plainUpstreams());
 			switch (this) {
 				case SOME -> every(fleet, 1_500, () -> fleet.silence(fleet.sample(all, all.size() / 4)));
@@ -89,12 +87,12 @@
 					every(fleet, 2_000,
 							() -> fleet.configure(CONFIGURATIONS.get(next.getAndIncrement() % CONFIGURATIONS.size())));
 				}
-				case STOPS ->
-					every(fleet, 3_000, () -> fleet.sample(fleet.vms(), fleet.vms().size() / 6).forEach(Vm::stop));
-				case CRASHES -> every(fleet, 2_500,
-						() -> fleet.sample(fleet.engines(), fleet.engines().size() / 8).forEach(Upstream::crash));
-				case GONE -> fleet.after(2_000,
-						() -> fleet.sample(fleet.engines(), fleet.engines().size() / 8).forEach(Upstream::vanish));
+				case STOPS -> every(fleet, 3_000,
+						() -> fleet.sample(fleet.vms(), fleet.vms().size() / 6).forEach(SimulatedVm::stop));
+				case CRASHES -> every(fleet, 2_500, () -> fleet.sample(fleet.engines(), fleet.engines().size() / 8)
+					.forEach(SimulatedUpstream::crash));
+				case GONE -> fleet.after(2_000, () -> fleet.sample(fleet.engines(), fleet.engines().size() / 8)
+					.forEach(SimulatedUpstream::vanish));
 				case REJECTIONS -> fleet.rejectShare(0.1);
 			}
 		}
@@ -131,9 +129,10 @@
 		for (long seed = 0; seed < seeds(vms); seed++) {
 			SilentUpstreamsSimulation fleet = disturbedFleet(vms, silence, beside, Reaction.HEDGE, seed);
 			String run = "seed " + seed + ": ";
-			assertTrue(fleet.violations.isEmpty(), run + fleet.violations);
-			assertTrue(silence == Silence.STAGES || fleet.repeats() > 0, run + "no hedge is made");
-			assertTrue(fleet.servedShare() >= SERVED_RATIO, run + fleet.servedShare() + " of the streams are served");
+			assertTrue(fleet.recorder().violations.isEmpty(), run + fleet.recorder().violations);
+			assertTrue(silence == Silence.STAGES || fleet.recorder().repeats() > 0, run + "no hedge is made");
+			assertTrue(fleet.recorder().servedShare() >= SERVED_RATIO,
+					run + fleet.recorder().servedShare() + " of the streams are served");
 		}
 	}
 
@@ -159,8 +158,8 @@
 		long lost = 0;
 		for (long seed = 0; seed < seeds(vms); seed++) {
 			SilentUpstreamsSimulation fleet = fleetWithLostEngines(vms, seed);
-			lost += fleet.lostStreams(false);
-			assertContinued(fleet.continuedShare(false, CONTINUED_MS), seed);
+			lost += fleet.recorder().lostStreams(false);
+			assertContinued(fleet.recorder().continuedShare(false, CONTINUED_MS), seed);
 		}
 		assertTrue(lost > 0);
 	}
@@ -172,8 +171,8 @@
 		long lost = 0;
 		for (long seed = 0; seed < seeds(6); seed++) {
 			SilentUpstreamsSimulation fleet = fleetWithLostEngines(6, seed);
-			lost += fleet.lostStreams(true);
-			assertContinued(fleet.continuedShare(true, CONTINUED_MS), seed);
+			lost += fleet.recorder().lostStreams(true);
+			assertContinued(fleet.recorder().continuedShare(true, CONTINUED_MS), seed);
 		}
 		assertTrue(lost > 0);
 	}
@@ -182,7 +181,7 @@
 	// that is gone.
 	@Test(dataProvider = "largeSizes", groups = "known-red")
 	void streamsSentToAnUpstreamThatIsGoneGoOnElsewhereInLargeFleets(int vms) {
-		assertContinued(fleetWithLostEngines(vms, 0).continuedShare(true, CONTINUED_MS), 0);
+		assertContinued(fleetWithLostEngines(vms, 0).recorder().continuedShare(true, CONTINUED_MS), 0);
 	}
 
 	@DataProvider
@@ -196,7 +195,7 @@
 		Beside.GONE.begin(fleet);
 		fleet.run(DISTURBED_MS);
 		fleet.finish();
-		assertTrue(fleet.violations.isEmpty(), "seed " + seed + ": " + fleet.violations);
+		assertTrue(fleet.recorder().violations.isEmpty(), "seed " + seed + ": " + fleet.recorder().violations);
 		return fleet;
 	}
 
@@ -212,8 +211,8 @@
 		for (long seed = 0; seed < seeds(vms); seed++) {
 			SilentUpstreamsSimulation fleet = disturbedFleet(vms, Silence.TOGETHER, Beside.CONFIGURATION,
 					Reaction.GIVE_UP_FIRST, seed);
-			broken += fleet.streams(Outcome.BROKEN);
-			violations.addAll(fleet.violations);
+			broken += fleet.recorder().streams(Outcome.BROKEN);
+			violations.addAll(fleet.recorder().violations);
 		}
 		assertTrue(broken > 0);
 		assertTrue(violations.stream().anyMatch((violation) -> violation.contains("broke before its deadline")));
@@ -225,9 +224,9 @@
 		SilentUpstreamsSimulation fleet = new SilentUpstreamsSimulation(vms, Reaction.HEDGE, 0);
 		fleet.run(WARM_UP_MS);
 		fleet.finish();
-		assertTrue(fleet.violations.isEmpty(), fleet.violations.toString());
-		assertEquals(fleet.repeats(), 0);
-		assertEquals(fleet.servedShare(), 1.0);
+		assertTrue(fleet.recorder().violations.isEmpty(), fleet.recorder().violations.toString());
+		assertEquals(fleet.recorder().repeats(), 0);
+		assertEquals(fleet.recorder().servedShare(), 1.0);
 	}
 
 }
