UnreachableServiceTests lists its upstreams with the closed address only

Trace (lines kept): the stand-in i-closed1 was listed with its open address at 32.957 and with the closed one at 33.078; the first request came at 32.957, between the two, and opened a connection to the open address, which the VM kept and used for every later request of the same incarnation. The test raced itself; 'Connection refused' of i-closed0 shows the other order. Now the stand-in is listed once, with the closed address. Checks and bounds are unchanged.

--- a/node/src/test/java/org/tallycart/node/UnreachableServiceTests.java
+++ b/node/src/test/java/org/tallycart/node/UnreachableServiceTests.java
@@ -6,6 +6,7 @@
 import java.util.regex.Pattern;
 
 import org.tallycart.core.ini.Address;
+import org.tallycart.platform.standin.UpstreamStandin;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -56,9 +57,11 @@
 	private void refuseConnections(String service) throws IOException {
 		for (int i = 0; i < 2; i++) {
 			String id = "i-closed" + i;
-			addUpstream(service, id);
-			this.upstreams.get(id).advertise(closedAddress());
-			this.store.put("servers", id, this.upstreams.get(id).entry(service, "d", "ready"));
+			UpstreamStandin upstream = UpstreamStandin.start(id, this.group);
+			this.upstreams.put(id, upstream);
+			// A VM keeps using a connection that it opened to an earlier address.
+			upstream.advertise(closedAddress());
+			this.store.put("servers", id, upstream.entry(service, "d", "ready"));
 			this.store.remove("servers", "i-" + service + i);
 		}
 	}
