A request whose handling fails unexpectedly is answered, and logs tell who closed a connection

What callers saw: a connection that closed without an answer or a refusal. Cause: an error thrown while a request is handled (for example a route that can't be planned) reached CallerConnection.exceptionCaught, which closed the connection; the log said that the caller had left. An error while a pipelined request is handled was thrown into the end of the request before it, and the pipelined one was never answered.

Now the connection tells the request that its handling failed; it answers 503 with Retry-After if nothing was sent, 502 otherwise, and the connection itself sends 500 if nobody did; a begun response is broken off. Why it works: the guard stands where each request is handed over and where the connection's own callbacks end. Errors in later callbacks end in the request's deadline, as before.

Besides: a raised idle limit holds for connections that are idle already (aRaisedIdleLimitHoldsForConnectionsThatAreIdle failed before: the timer kept the limit of the earlier version). connections_closed_* count who closed a caller's connection, and why.

--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.tallycart.http.event;
 
+import java.io.IOException;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -40,6 +41,8 @@
 
 	private static final int HEAD_TOO_LARGE = 431;
 
+	private static final int INTERNAL_ERROR = 500;
+
 	/** Pipelined bytes buffered while a request is handled; above it reading stops. */
 	private static final int MAX_UNPARSED_BYTES = 64 * 1024;
 
@@ -73,6 +76,8 @@
 
 	private boolean refused;
 
+	private ConnectionEnd end = ConnectionEnd.CALLER;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	CallerConnection(RequestHandler handler, ConnectionRegistry registry) {
@@ -87,7 +92,7 @@
 	public void channelActive(ChannelHandlerContext context) {
 		this.context = context;
 		this.registry.add(this);
-		scheduleIdle();
+		awaitIdleTimeout(0);
 	}
 
 	@Override
@@ -99,12 +104,25 @@
 		if (active != null) {
 			active.onDisconnected();
 		}
+		this.handler.onClosed(this.end);
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		ActiveResponder active = this.responder;
+		if (cause instanceof IOException || active == null) {
+			UncaughtErrorReporter.report(cause);
+			context.close();
+		}
+		else {
+			onHandlingFailed(active, cause);
+		}
+	}
+
+	private void onHandlingFailed(ActiveResponder active, Throwable cause) {
 		UncaughtErrorReporter.report(cause);
-		context.close();
+		this.end = ConnectionEnd.FAILED;
+		active.onHandlingFailed();
 	}
 
 	@Override
@@ -182,7 +200,12 @@
 		this.body = Unpooled.EMPTY_BUFFER;
 		ActiveResponder active = new ActiveResponder(isHttp10(request), isKeepAlive(request));
 		this.responder = active;
-		this.handler.onRequest(request, bytes, active);
+		try {
+			this.handler.onRequest(request, bytes, active);
+		}
+		catch (Exception | Error ex) {
+			onHandlingFailed(active, ex);
+		}
 	}
 
 	@Override
@@ -214,9 +237,15 @@
 		HttpResponse response = new BasicHttpResponse(status);
 		response.addHeader("Content-Length", "0");
 		response.addHeader("Connection", "close");
-		ChannelHandlerContext current = requireContext();
-		current.writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.response(response)));
-		schedule(LINGER_MS, current::close);
+		requireContext().writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.response(response)));
+		schedule(LINGER_MS, () -> close(ConnectionEnd.REFUSED));
+	}
+
+	private void close(ConnectionEnd reason) {
+		if (this.end == ConnectionEnd.CALLER) {
+			this.end = reason;
+		}
+		requireContext().close();
 	}
 
 	/**
@@ -231,7 +260,7 @@
 		}
 		else if (!partlyRead) {
 			this.closing = true;
-			requireContext().close();
+			close(ConnectionEnd.STOPPED);
 		}
 	}
 
@@ -245,15 +274,22 @@
 			return;
 		}
 		requireContext().channel().config().setAutoRead(true);
-		scheduleIdle();
+		awaitIdleTimeout(0);
 		if (this.reader.unparsedBytes() > 0) {
 			scheduleHeadTimeout();
 			this.reader.resume();
 		}
 	}
 
-	private void scheduleIdle() {
-		schedule(this.handler.limits().idleTimeoutMs(), () -> requireContext().close());
+	// The limit may be raised while the connection is idle.
+	private void awaitIdleTimeout(long idleMs) {
+		long limitMs = this.handler.limits().idleTimeoutMs();
+		if (idleMs < limitMs) {
+			schedule(limitMs - idleMs, () -> awaitIdleTimeout(limitMs));
+		}
+		else {
+			close(ConnectionEnd.IDLE);
+		}
 	}
 
 	private void scheduleHeadTimeout() {
@@ -292,10 +328,14 @@
 
 		private boolean closeDelimited;
 
+		private boolean begun;
+
 		private boolean ended;
 
 		private @Nullable Runnable disconnectAction;
 
+		private @Nullable Runnable failureAction;
+
 		private @Nullable BackpressureListener backpressureListener;
 
 		ActiveResponder(boolean http10, boolean keepAlive) {
@@ -319,6 +359,7 @@
 			if (this.ended) {
 				return;
 			}
+			this.begun = true;
 			if (this.http10) {
 				beginUntilClose(response);
 				return;
@@ -333,6 +374,7 @@
 			if (this.ended) {
 				return;
 			}
+			this.begun = true;
 			this.closeDelimited = true;
 			CallerConnection.this.closing = true;
 			response.setHeader("Connection", "close");
@@ -391,14 +433,14 @@
 			if (this.closeDelimited && written) {
 				setLinger(CLOSE_IN_ORDER);
 			}
-			requireContext().close();
+			close(ConnectionEnd.ANSWERED);
 		}
 
 		@Override
 		public void abort() {
 			if (!this.ended) {
 				this.ended = true;
-				requireContext().close();
+				close(ConnectionEnd.BROKEN_OFF);
 			}
 		}
 
@@ -407,6 +449,11 @@
 			this.disconnectAction = action;
 		}
 
+		@Override
+		public void onHandlingFailed(Runnable action) {
+			this.failureAction = action;
+		}
+
 		@Override
 		public void onBackpressure(BackpressureListener listener) {
 			this.backpressureListener = listener;
@@ -418,6 +465,21 @@
 			}
 		}
 
+		// The state of the connection may be inconsistent, so it carries no other
+		// request.
+		private void onHandlingFailed() {
+			CallerConnection.this.closing = true;
+			if (this.failureAction != null) {
+				this.failureAction.run();
+			}
+			if (this.begun) {
+				abort();
+			}
+			else {
+				send(new BasicHttpResponse(INTERNAL_ERROR), new byte[0]);
+			}
+		}
+
 		private void onDisconnected() {
 			if (!this.ended) {
 				this.ended = true;
--- a/http/src/main/java/org/tallycart/http/event/RequestHandler.java
+++ b/http/src/main/java/org/tallycart/http/event/RequestHandler.java
@@ -25,6 +25,13 @@
 	 */
 	void onRefused(int status, String reason);
 
+	/**
+	 * Handle the close of a connection of a caller.
+	 * @param end why it has closed
+	 */
+	default void onClosed(ConnectionEnd end) {
+	}
+
 	/**
 	 * Return the active limits.
 	 * @return the limits, read again for each use
--- a/http/src/main/java/org/tallycart/http/event/Responder.java
+++ b/http/src/main/java/org/tallycart/http/event/Responder.java
@@ -51,6 +51,13 @@
 	 */
 	void onCallerDisconnected(Runnable action);
 
+	/**
+	 * Set the action to run when the handling of the request has failed unexpectedly. If
+	 * the action leaves the request without a response, the connection sends an error.
+	 * @param action the action, run at most once
+	 */
+	void onHandlingFailed(Runnable action);
+
 	/**
 	 * Set the listener to notify when the caller reads more slowly than parts are
 	 * written, and when it has caught up.
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -45,6 +45,10 @@
 
 	private final BlockingQueue<String> refused = new LinkedBlockingQueue<>();
 
+	private final BlockingQueue<ConnectionEnd> closed = new LinkedBlockingQueue<>();
+
+	private volatile RequestLimits limits = LIMITS;
+
 	private final List<Thread> peers = new ArrayList<>();
 
 	private EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -53,6 +57,8 @@
 	void setUp() {
 		this.handled.clear();
 		this.refused.clear();
+		this.closed.clear();
+		this.limits = LIMITS;
 		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 	}
 
@@ -148,6 +154,88 @@
 		assertEquals(this.handled.poll(WAIT_MS, TimeUnit.MILLISECONDS), "gone");
 	}
 
+	// Guards against a request that ends without a response, since its handling fails
+	// unexpectedly.
+	@Test
+	void aRequestWhoseHandlingFailsIsAnswered() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /fails HTTP/1.1\r\nHost: h\r\n\r\n");
+			String response = readUntil(socket, "\r\n\r\n");
+			assertTrue(response.startsWith("HTTP/1.1 500"), response);
+			assertTrue(response.contains("Connection: close"), response);
+		}
+		assertEquals(this.handled.poll(WAIT_MS, TimeUnit.MILLISECONDS), "/fails ");
+		assertEquals(this.handled.poll(WAIT_MS, TimeUnit.MILLISECONDS), "failed");
+		assertEquals(this.closed.poll(WAIT_MS, TimeUnit.MILLISECONDS), ConnectionEnd.FAILED);
+	}
+
+	// Guards against a request that is never answered, since its handling fails when the
+	// response to the one before it ends.
+	@Test
+	void aPipelinedRequestWhoseHandlingFailsIsAnswered() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /whole HTTP/1.1\r\nHost: h\r\n\r\nGET /fails HTTP/1.1\r\nHost: h\r\n\r\n");
+			assertTrue(readUntil(socket, "0\r\n\r\n").startsWith("HTTP/1.1 200"));
+			assertTrue(readUntil(socket, "\r\n\r\n").startsWith("HTTP/1.1 500"));
+		}
+	}
+
+	// Guards against a response that looks complete although its handling has failed.
+	@Test
+	void aResponseWhoseHandlingFailsMidwayIsBrokenOff() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /fails-midway HTTP/1.1\r\nHost: h\r\n\r\n");
+			String response = readUntil(socket, "0\r\n\r\n");
+			assertTrue(response.startsWith("HTTP/1.1 200"), response);
+			assertFalse(response.endsWith("0\r\n\r\n"), response);
+		}
+		assertEquals(this.closed.poll(WAIT_MS, TimeUnit.MILLISECONDS), ConnectionEnd.FAILED);
+	}
+
+	// Guards against a kept connection that closes under its caller's next request, since
+	// it was idle when the limit was raised.
+	@Test
+	void aRaisedIdleLimitHoldsForConnectionsThatAreIdle() throws Exception {
+		this.limits = new RequestLimits(2_000, 3_000, 300, 300);
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+			readUntil(socket, "/a ");
+			// The connection is idle once the loop has ended the task that responded.
+			this.group.submit(() -> this.limits = LIMITS).get();
+			Thread.sleep(600);
+			write(socket, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+			assertTrue(readUntil(socket, "/b ").startsWith("HTTP/1.1 200"));
+		}
+	}
+
+	@DataProvider
+	Object[][] endsOfConnections() {
+		return new Object[][] { { "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ConnectionEnd.IDLE },
+				{ "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", ConnectionEnd.ANSWERED },
+				{ "GET /broken HTTP/1.1\r\nHost: h\r\n\r\n", ConnectionEnd.BROKEN_OFF },
+				{ "nonsense\r\n\r\n", ConnectionEnd.REFUSED } };
+	}
+
+	// Guards against logs and metrics that take a close by this process for one by the
+	// caller.
+	@Test(dataProvider = "endsOfConnections")
+	void reportsWhichSideClosedAConnection(String text, ConnectionEnd end) throws Exception {
+		this.limits = new RequestLimits(2_000, 3_000, 300, 200);
+		try (Socket socket = connect(server().port())) {
+			write(socket, text);
+			assertEquals(this.closed.poll(WAIT_MS, TimeUnit.MILLISECONDS), end);
+		}
+	}
+
+	@Test
+	void reportsThatACallerClosedItsConnection() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+			assertEquals(this.handled.poll(WAIT_MS, TimeUnit.MILLISECONDS), "/held ");
+		}
+		assertEquals(this.closed.poll(WAIT_MS, TimeUnit.MILLISECONDS), ConnectionEnd.CALLER);
+	}
+
 	@Test
 	void drainingServerClosesConnectionWithNextResponse() throws Exception {
 		HttpServer server = server();
@@ -332,7 +420,7 @@
 
 	/**
 	 * Responds with the path and body of each request, to /whole and /broken in parts;
-	 * never responds to /held.
+	 * never responds to /held; fails at /fails, and at /fails-midway within its response.
 	 */
 	private final class EchoHandler implements RequestHandler {
 
@@ -347,10 +435,20 @@
 				}
 				case "/whole" -> respondInParts(responder, responder::end);
 				case "/broken" -> respondInParts(responder, responder::abort);
+				case "/fails" -> fail(responder);
+				case "/fails-midway" -> {
+					responder.begin(new BasicHttpResponse(200));
+					fail(responder);
+				}
 				default -> responder.send(new BasicHttpResponse(200), text.getBytes(StandardCharsets.UTF_8));
 			}
 		}
 
+		private void fail(Responder responder) {
+			responder.onHandlingFailed(() -> ConnectionTests.this.handled.add("failed"));
+			throw new IllegalStateException("the handler fails");
+		}
+
 		private void respondInParts(Responder responder, Runnable end) {
 			responder.begin(new BasicHttpResponse(200));
 			responder.write("first".getBytes(StandardCharsets.UTF_8));
@@ -367,7 +465,12 @@
 
 		@Override
 		public RequestLimits limits() {
-			return LIMITS;
+			return ConnectionTests.this.limits;
+		}
+
+		@Override
+		public void onClosed(ConnectionEnd end) {
+			ConnectionTests.this.closed.add(end);
 		}
 
 	}
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import org.tallycart.http.event.ConnectionEnd;
 import org.tallycart.http.event.ReplyEnd;
 import org.tallycart.node.statement.StatementKind;
 import org.tallycart.platform.store.EntryProblem;
@@ -207,6 +208,14 @@
 		this.registry.counter("connections.refused.status_" + status).inc();
 	}
 
+	/**
+	 * Count a connection of a caller that has closed.
+	 * @param end why it has closed
+	 */
+	public void onConnectionClosed(ConnectionEnd end) {
+		this.registry.counter("connections.closed." + end.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
 	/** Count a connection that was closed before its request was read. */
 	public void onConnectionNotAdmitted() {
 		this.registry.counter("connections.not_admitted").inc();
--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -14,6 +14,7 @@
 import org.tallycart.core.serving.ServingConfig;
 import org.tallycart.core.serving.Workspace;
 import org.tallycart.core.stream.StreamOrigin;
+import org.tallycart.http.event.ConnectionEnd;
 import org.tallycart.http.event.RequestHandler;
 import org.tallycart.http.event.RequestLimits;
 import org.tallycart.http.event.Responder;
@@ -134,6 +135,11 @@
 		this.context.log().event(EventCode.CONNECTION_REFUSED, "status", status, "reason", reason);
 	}
 
+	@Override
+	public void onClosed(ConnectionEnd end) {
+		this.context.metrics().onConnectionClosed(end);
+	}
+
 	@Override
 	public RequestLimits limits() {
 		return RequestLimits.of(this.config.current().map(ServingConfig::limits).orElse(CallerLimits.DEFAULTS));
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -114,6 +114,7 @@
 
 	void start() {
 		this.responder.onCallerDisconnected(this::onCallerGone);
+		this.responder.onHandlingFailed(this::onHandlingFailed);
 		this.responder.onBackpressure(this::onBackpressure);
 		this.deadlineTimer = this.context.loop()
 			.schedule(this.plan.deadlineMs() - RESPONSE_MARGIN_MS - now(), this::onDeadline);
@@ -569,6 +570,14 @@
 		finish("caller_gone", EventCode.CALLER_GONE, "sends", this.attemptCount);
 	}
 
+	// The state of the request may be inconsistent, so it is not sent again.
+	private void onHandlingFailed() {
+		if (!this.finished) {
+			this.mayHaveRun |= this.attempts.current().isPresent();
+			fail(RetryAfterPolicy.UNREACHABLE_MS, "the handling of the request failed unexpectedly");
+		}
+	}
+
 	private void abort(String reason) {
 		this.responder.abort();
 		finish("stream_broken", EventCode.REQUEST_ANSWERED, "stream", "broken", "reason", reason, "sends",
