--- a/node/src/test/java/org/tallycart/node/ConfigurationChangeRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/ConfigurationChangeRequestTests.java
@@ -63,8 +63,8 @@
 
 	private static final String DEADLINE = "X-Tallycart-Deadline-Ms: " + TIMEOUT_MS + "\r\n";
 
-	private static final String KEPT = "GET /plain/kept HTTP/1.1\r\nHost: h\r\nX-Tallycart-Request-Id: %s\r\n" + DEADLINE
-			+ KEY + "\r\n";
+	private static final String KEPT = "GET /plain/kept HTTP/1.1\r\nHost: h\r\nX-Tallycart-Request-Id: %s\r\n"
+			+ DEADLINE + KEY + "\r\n";
 
 	private static final String PARTLY_READ = "POST /plain/part HTTP/1.1\r\nHost: h\r\nX-Tallycart-Request-Id: part\r\n"
 			+ DEADLINE + "Content-Length: 20\r\nConnection: close\r\n" + KEY + "\r\n0123456789";
@@ -132,11 +132,9 @@
 	private List<Future<String>> beginRequests() {
 		List<Future<String>> pending = new ArrayList<>();
 		IntStream.range(0, STREAMS)
-			.forEach((i) -> pending
-				.add(this.threads.submit(() -> ask("/stream/x", "s" + i, STREAM_FIELDS))));
+			.forEach((i) -> pending.add(this.threads.submit(() -> ask("/stream/x", "s" + i, STREAM_FIELDS))));
 		pause(UNDER_WAY_MS);
-		IntStream.range(0, PLAIN)
-			.forEach((i) -> pending.add(this.threads.submit(() -> ask("/plain/x", "p" + i, KEY))));
+		IntStream.range(0, PLAIN).forEach((i) -> pending.add(this.threads.submit(() -> ask("/plain/x", "p" + i, KEY))));
 		pause(UNDER_WAY_MS / 2);
 		return pending;
 	}
