--- a/node/src/test/java/org/tallycart/node/NamedLimitTests.java
+++ b/node/src/test/java/org/tallycart/node/NamedLimitTests.java
@@ -137,7 +137,7 @@
 	}
 
 	/** The store is down while the limit is stated. */
-	@Test(groups = "known-red")
+	@Test
 	void itHoldsWhileTheStoreIsAway() {
 		UpstreamStandin limited = limited("engine");
 		this.store.setDown(true);
