Blocking client: heads, informational replies and lines of a body are limited

What its callers saw: a thread that read informational heads, fields or one line of a body until the peer closed. Cause: no limit on informational replies, on the fields of a head, and on a line of a streamed body (BufferedReader.readLine). Now 16 replies, 256 fields of 16 KB, 1 M characters a line; TOO_LARGE, and the connection is closed. Open: the time of a whole body, chunk extensions (docs/design/message-limits.md).

--- a/http/src/main/java/org/tallycart/http/HttpConnection.java
+++ b/http/src/main/java/org/tallycart/http/HttpConnection.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -17,11 +18,13 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
@@ -46,6 +49,22 @@
 
 	private static final int MAX_BODY_BYTES = 8 << 20;
 
+	private static final int MAX_BODY_LINE_CHARS = 1 << 20;
+
+	/** Maximum size of a line of a head, a chunk or a trailer, in bytes. */
+	private static final int MAX_HEAD_LINE_BYTES = 16 << 10;
+
+	/** Maximum number of fields of a head, and of trailers. */
+	private static final int MAX_FIELDS = 256;
+
+	/** Maximum number of informational replies before a reply. */
+	private static final int MAX_INFORMATIONAL_REPLIES = 16;
+
+	private static final Http1Config CONFIG = Http1Config.custom()
+		.setMaxLineLength(MAX_HEAD_LINE_BYTES)
+		.setMaxHeaderCount(MAX_FIELDS)
+		.build();
+
 	private final Address address;
 
 	private final DefaultBHttpClientConnection connection;
@@ -71,7 +90,7 @@
 		try {
 			socket.setTcpNoDelay(true);
 			socket.connect(new InetSocketAddress(address.host(), address.port()), (int) Math.max(timeoutMs, 1));
-			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT);
+			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(CONFIG);
 			connection.bind(socket);
 			return Either.right(new HttpConnection(address, connection, socket));
 		}
@@ -104,7 +123,7 @@
 			ClassicHttpRequest request = request(call);
 			HttpCoreContext context = HttpCoreContext.create();
 			EXECUTOR.preProcess(request, PROCESSOR, context);
-			ClassicHttpResponse response = EXECUTOR.execute(request, this.connection, context);
+			ClassicHttpResponse response = EXECUTOR.execute(request, this.connection, informationalLimit(), context);
 			boolean keepAlive = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
 			List<HttpField> fields = new ArrayList<>();
 			for (Header header : response.getHeaders()) {
@@ -120,6 +139,15 @@
 		}
 	}
 
+	private static HttpResponseInformationCallback informationalLimit() {
+		AtomicInteger received = new AtomicInteger();
+		return (response, connection, context) -> {
+			if (received.incrementAndGet() > MAX_INFORMATIONAL_REPLIES) {
+				throw new MessageTooLargeException("more than " + MAX_INFORMATIONAL_REPLIES + " informational replies");
+			}
+		};
+	}
+
 	private ClassicHttpRequest request(HttpCall call) {
 		ClassicHttpRequest request = new BasicClassicHttpRequest(call.method(),
 				new HttpHost("http", this.address.host(), this.address.port()), call.path());
@@ -140,9 +168,19 @@
 
 	HttpFailure fail(Exception ex) {
 		abort();
-		HttpFailure.Kind kind = (ex instanceof SocketTimeoutException) ? HttpFailure.Kind.TIMEOUT
-				: HttpFailure.Kind.BROKEN;
-		return new HttpFailure(kind, true, this.address + ": " + ex.getMessage());
+		return new HttpFailure(kind(ex), true, this.address + ": " + ex.getMessage());
+	}
+
+	private static HttpFailure.Kind kind(Exception ex) {
+		if (ex instanceof SocketTimeoutException) {
+			return HttpFailure.Kind.TIMEOUT;
+		}
+		boolean tooLarge = ex instanceof MessageConstraintException || ex instanceof MessageTooLargeException;
+		return tooLarge ? HttpFailure.Kind.TOO_LARGE : HttpFailure.Kind.BROKEN;
+	}
+
+	int maxBodyLineChars() {
+		return MAX_BODY_LINE_CHARS;
 	}
 
 	int maxBodyBytes() {
@@ -196,4 +234,15 @@
 		}
 	}
 
+	/** Informational replies that are too many. */
+	private static final class MessageTooLargeException extends HttpException {
+
+		private static final long serialVersionUID = 1L;
+
+		MessageTooLargeException(String message) {
+			super(message);
+		}
+
+	}
+
 }
--- a/http/src/main/java/org/tallycart/http/HttpFailure.java
+++ b/http/src/main/java/org/tallycart/http/HttpFailure.java
@@ -19,7 +19,7 @@
 		TIMEOUT,
 		/** The connection failed, or the reply is not valid HTTP. */
 		BROKEN,
-		/** The reply body exceeds the limit. */
+		/** The reply exceeds a limit. */
 		TOO_LARGE
 
 	}
--- a/http/src/main/java/org/tallycart/http/StreamedReply.java
+++ b/http/src/main/java/org/tallycart/http/StreamedReply.java
@@ -34,6 +34,8 @@
 
 	private @Nullable BufferedReader reader;
 
+	private boolean skippingLineFeed;
+
 	StreamedReply(HttpConnection connection, int status, List<HttpField> fields, InputStream body, boolean framed,
 			boolean keepAlive) {
 		this.connection = connection;
@@ -92,17 +94,37 @@
 			if (this.reader == null) {
 				this.reader = new BufferedReader(new InputStreamReader(this.body, StandardCharsets.UTF_8));
 			}
-			Optional<String> line = Optional.ofNullable(this.reader.readLine());
-			if (line.isEmpty()) {
-				onBodyEnd();
-			}
-			return Either.right(line);
+			return readLine(this.reader);
 		}
 		catch (IOException ex) {
 			return Either.left(this.connection.fail(ex));
 		}
 	}
 
+	// Bounded, unlike the method of the reader. A line ends with CR, LF or both.
+	private Either<HttpFailure, Optional<String>> readLine(BufferedReader from) throws IOException {
+		StringBuilder line = new StringBuilder();
+		while (line.length() <= this.connection.maxBodyLineChars()) {
+			int next = from.read();
+			if (next < 0 && line.isEmpty()) {
+				onBodyEnd();
+				return Either.right(Optional.empty());
+			}
+			if (next == '\n' && this.skippingLineFeed) {
+				this.skippingLineFeed = false;
+				continue;
+			}
+			this.skippingLineFeed = next == '\r';
+			if (next < 0 || next == '\n' || next == '\r') {
+				return Either.right(Optional.of(line.toString()));
+			}
+			line.append((char) next);
+		}
+		this.connection.abort();
+		return Either.left(new HttpFailure(HttpFailure.Kind.TOO_LARGE, true,
+				"a line of the reply body exceeds " + this.connection.maxBodyLineChars() + " characters"));
+	}
+
 	private void onBodyEnd() {
 		if (!this.keepAlive) {
 			this.connection.markNotReusable();
