Replies that state their length are kept while others hold half of the memory for all; events of up to 4 MB

Seen: 300 replies without an end, each small, discarded a sound reply of 2 MB (the rule was a weight of an eighth): a trial of EndlessRepliesMemoryTests, whose stand-in also reset the sound connection, and the rule's own numbers. Seen too: an event of 1 MB, as SilentUpstreamRequestTests sends, exceeded the limit of an event. Now messages of stated length go only when the others hold half or less; the limit of an event is 4 MB, that of whole replies. Evidence: MessageLimitsTests (each limit exactly, in one part and byte by byte), EndlessRepliesMemoryTests (300 connections, heap of 80 MB, 16 MB held), 68 tests of http pass.

--- a/http/src/main/java/org/tallycart/http/event/HeldBytes.java
+++ b/http/src/main/java/org/tallycart/http/event/HeldBytes.java
@@ -9,16 +9,14 @@
  * Account of the memory that incomplete messages of all connections occupy.
  * <p>
  * Invariant: after each addition the total is at most the maximum; messages are discarded
- * for it, the largest first. Of messages that state their length, which ends them, an
- * eighth of the size counts. Not thread-safe: confined to an event loop.
+ * for it, the largest first. Those that state their length, which ends them, are not
+ * discarded while the others hold more than half of the maximum. Not thread-safe:
+ * confined to an event loop.
  *
  * @since 0.1
  */
 public final class HeldBytes {
 
-	/** Weight of the size of a message without a stated length. */
-	private static final int UNKNOWN_LENGTH_WEIGHT = 8;
-
 	private final long maxBytes;
 
 	private final Set<Holder> holders = new LinkedHashSet<>();
@@ -46,7 +44,7 @@
 		this.holders.add(holder);
 		this.total += bytes;
 		while (this.total > this.maxBytes) {
-			Optional<Holder> largest = this.holders.stream().max(Comparator.comparingLong(HeldBytes::weight));
+			Optional<Holder> largest = largest();
 			if (largest.isEmpty()) {
 				return;
 			}
@@ -54,8 +52,12 @@
 		}
 	}
 
-	private static long weight(Holder holder) {
-		return holder.isLengthKnown() ? holder.heldBytes() : UNKNOWN_LENGTH_WEIGHT * holder.heldBytes();
+	private Optional<Holder> largest() {
+		long unknown = this.holders.stream().filter((each) -> !each.isLengthKnown()).mapToLong(Holder::heldBytes).sum();
+		boolean ofKnownLength = unknown <= this.maxBytes / 2;
+		return this.holders.stream()
+			.filter((each) -> each.isLengthKnown() == ofKnownLength)
+			.max(Comparator.comparingLong(Holder::heldBytes));
 	}
 
 	void remove(Holder holder, long bytes) {
--- a/http/src/main/java/org/tallycart/http/event/MessageLimits.java
+++ b/http/src/main/java/org/tallycart/http/event/MessageLimits.java
@@ -59,7 +59,7 @@
 
 		private static final int DEFAULT_SKIPPED_BYTES = 4 << 20;
 
-		private static final int DEFAULT_EVENT_BYTES = 1 << 20;
+		private static final int DEFAULT_EVENT_BYTES = 4 << 20;
 
 		private static final int DEFAULT_REPLY_BYTES = 4 << 20;
 
@@ -133,7 +133,7 @@
 
 		/**
 		 * Set the maximum size of an event.
-		 * @param bytes the size in bytes; 1 MB by default
+		 * @param bytes the size in bytes; 4 MB by default
 		 * @return this builder
 		 */
 		public Builder eventBytes(int bytes) {
