--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.tallycart.http.event;
 
+import java.io.IOException;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -39,6 +40,8 @@
 
 	private static final int HEAD_TOO_LARGE = 431;
 
+	private static final int INTERNAL_ERROR = 500;
+
 	/** Pipelined bytes buffered while a request is handled; above it reading stops. */
 	private static final int MAX_UNPARSED_BYTES = 64 * 1024;
 
@@ -72,6 +75,8 @@
 
 	private boolean refused;
 
+	private ConnectionEnd end = ConnectionEnd.CALLER;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	CallerConnection(RequestHandler handler, ConnectionRegistry registry) {
@@ -89,7 +94,7 @@
 	public void channelActive(ChannelHandlerContext context) {
 		this.context = context;
 		this.registry.add(this);
-		scheduleIdle();
+		awaitIdleTimeout(0);
 	}
 
 	@Override
@@ -101,12 +106,25 @@
 		if (active != null) {
 			active.onDisconnected();
 		}
+		this.handler.onClosed(this.end);
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		ActiveResponder active = this.responder;
+		if (cause instanceof IOException || active == null) {
+			UncaughtErrorReporter.report(cause);
+			context.close();
+		}
+		else {
+			onHandlingFailed(active, cause);
+		}
+	}
+
+	private void onHandlingFailed(ActiveResponder active, Throwable cause) {
 		UncaughtErrorReporter.report(cause);
-		context.close();
+		this.end = ConnectionEnd.FAILED;
+		active.onHandlingFailed();
 	}
 
 	@Override
@@ -181,7 +199,12 @@
 		this.body = Unpooled.EMPTY_BUFFER;
 		ActiveResponder active = new ActiveResponder(isHttp10(request), isKeepAlive(request));
 		this.responder = active;
-		this.handler.onRequest(request, bytes, active);
+		try {
+			this.handler.onRequest(request, bytes, active);
+		}
+		catch (Exception | Error ex) {
+			onHandlingFailed(active, ex);
+		}
 	}
 
 	@Override
@@ -219,9 +242,15 @@
 		HttpResponse response = new BasicHttpResponse(status);
 		response.addHeader("Content-Length", "0");
 		response.addHeader("Connection", "close");
-		ChannelHandlerContext current = requireContext();
-		current.writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.response(response)));
-		schedule(LINGER_MS, current::close);
+		requireContext().writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.response(response)));
+		schedule(LINGER_MS, () -> close(ConnectionEnd.REFUSED));
+	}
+
+	private void close(ConnectionEnd reason) {
+		if (this.end == ConnectionEnd.CALLER) {
+			this.end = reason;
+		}
+		requireContext().close();
 	}
 
 	/**
@@ -236,7 +265,7 @@
 		}
 		else if (!partlyRead) {
 			this.closing = true;
-			requireContext().close();
+			close(ConnectionEnd.STOPPED);
 		}
 	}
 
@@ -250,15 +279,22 @@
 			return;
 		}
 		requireContext().channel().config().setAutoRead(true);
-		scheduleIdle();
+		awaitIdleTimeout(0);
 		if (this.reader.unparsedBytes() > 0) {
 			beginHead();
 			this.reader.resume();
 		}
 	}
 
-	private void scheduleIdle() {
-		schedule(this.handler.limits().idleTimeoutMs(), () -> requireContext().close());
+	// The limit may be raised while the connection is idle.
+	private void awaitIdleTimeout(long idleMs) {
+		long limitMs = this.handler.limits().idleTimeoutMs();
+		if (idleMs < limitMs) {
+			schedule(limitMs - idleMs, () -> awaitIdleTimeout(limitMs));
+		}
+		else {
+			close(ConnectionEnd.IDLE);
+		}
 	}
 
 	private void beginHead() {
@@ -298,10 +334,14 @@
 
 		private boolean closeDelimited;
 
+		private boolean begun;
+
 		private boolean ended;
 
 		private @Nullable Runnable disconnectAction;
 
+		private @Nullable Runnable failureAction;
+
 		private @Nullable BackpressureListener backpressureListener;
 
 		ActiveResponder(boolean http10, boolean keepAlive) {
@@ -325,6 +365,7 @@
 			if (this.ended) {
 				return;
 			}
+			this.begun = true;
 			if (this.http10) {
 				beginUntilClose(response);
 				return;
@@ -339,6 +380,7 @@
 			if (this.ended) {
 				return;
 			}
+			this.begun = true;
 			this.closeDelimited = true;
 			CallerConnection.this.closing = true;
 			response.setHeader("Connection", "close");
@@ -397,14 +439,14 @@
 			if (this.closeDelimited && written) {
 				setLinger(CLOSE_IN_ORDER);
 			}
-			requireContext().close();
+			close(ConnectionEnd.ANSWERED);
 		}
 
 		@Override
 		public void abort() {
 			if (!this.ended) {
 				this.ended = true;
-				requireContext().close();
+				close(ConnectionEnd.BROKEN_OFF);
 			}
 		}
 
@@ -413,6 +455,11 @@
 			this.disconnectAction = action;
 		}
 
+		@Override
+		public void onHandlingFailed(Runnable action) {
+			this.failureAction = action;
+		}
+
 		@Override
 		public void onBackpressure(BackpressureListener listener) {
 			this.backpressureListener = listener;
@@ -424,6 +471,21 @@
 			}
 		}
 
+		// The state of the connection may be inconsistent, so it carries no other
+		// request.
+		private void onHandlingFailed() {
+			CallerConnection.this.closing = true;
+			if (this.failureAction != null) {
+				this.failureAction.run();
+			}
+			if (this.begun) {
+				abort();
+			}
+			else {
+				send(new BasicHttpResponse(INTERNAL_ERROR), new byte[0]);
+			}
+		}
+
 		private void onDisconnected() {
 			if (!this.ended) {
 				this.ended = true;
