--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import org.tallycart.platform.standin.EndlessReplyProxy;
 import org.tallycart.platform.standin.UpstreamStandin;
 import org.tallycart.standin.FaultProxy;
 import org.tallycart.testbed.ManagedProcess;
@@ -57,6 +58,13 @@
 	/** One of this many faults comes with upstreams of a service that fall silent. */
 	private static final int SILENCE_INTERVAL = 4;
 
+	/** One of this many faults comes with an upstream whose replies have no end. */
+	private static final int ENDLESS_INTERVAL = 4;
+
+	private static final List<EndlessReplyProxy.Kind> ENDLESS = Stream.of(EndlessReplyProxy.Kind.values())
+		.filter((kind) -> !kind.hasEvents())
+		.toList();
+
 	private static final int MIN_SILENCE_MS = 300;
 
 	private static final int MAX_SILENCE_MS = 2_500;
@@ -98,6 +106,8 @@
 
 	private final Random silenceRandom;
 
+	private final Random endlessRandom;
+
 	private final Set<SoakNode> withoutLinks = ConcurrentHashMap.newKeySet();
 
 	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(UNDO_THREADS);
@@ -116,6 +126,7 @@
 		this.linkRandom = new Random(Long.reverseBytes(seed));
 		this.connectionRandom = new Random(~Long.reverseBytes(seed));
 		this.silenceRandom = new Random(Long.rotateLeft(seed, Integer.SIZE));
+		this.endlessRandom = new Random(~Long.rotateLeft(seed, Integer.SIZE));
 	}
 
 	/**
@@ -150,6 +161,9 @@
 			if (this.silenceRandom.nextInt(SILENCE_INTERVAL) == 0) {
 				silence();
 			}
+			if (this.endlessRandom.nextInt(ENDLESS_INTERVAL) == 0) {
+				replyEndlessly();
+			}
 			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
 		}
 		for (Future<?> each : this.undoTasks) {
@@ -264,6 +278,16 @@
 		}
 	}
 
+	private void replyEndlessly() {
+		List<String> ids = this.fleet.upstreamIds();
+		String upstream = ids.get(this.endlessRandom.nextInt(ids.size()));
+		EndlessReplyProxy.Kind kind = ENDLESS.get(this.endlessRandom.nextInt(ENDLESS.size()));
+		this.violations.note(upstream + " sends without end: " + kind);
+		this.fleet.upstreamPath(upstream).setReplyOverride(Optional.of(kind::send));
+		undoAfter(MIN_DURATION_MS + this.endlessRandom.nextInt(MAX_DURATION_MS),
+				() -> this.fleet.upstreamPath(upstream).setReplyOverride(Optional.empty()));
+	}
+
 	private void replyUnframed() {
 		List<String> ids = this.fleet.upstreamIds();
 		String upstream = ids.get(this.unframedRandom.nextInt(ids.size()));
--- a/standin/src/main/java/org/tallycart/standin/FaultProxy.java
+++ b/standin/src/main/java/org/tallycart/standin/FaultProxy.java
@@ -5,9 +5,11 @@
 import java.io.OutputStream;
 import java.net.BindException;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -16,7 +18,8 @@
 /**
  * TCP proxy that injects network faults: delay, stall and loss of data, per direction,
  * and reset and refused connections. It relays the end of a stream as a half-close, and a
- * reset, or an end that follows dropped data, as a reset.
+ * reset, or an end that follows dropped data, as a reset. It can also answer requests in
+ * place of the target.
  * <p>
  * The sender sees no error when data is dropped. A proxy that listens on several hosts
  * can be cut off for the callers of one of them, while the callers of the others reach
@@ -53,6 +56,8 @@
 
 	private volatile boolean refusing;
 
+	private volatile Optional<ReplyOverride> replyOverride = Optional.empty();
+
 	private FaultProxy(Address target) {
 		this.target = target;
 	}
@@ -123,6 +128,10 @@
 			while (count >= 0) {
 				direction.awaitDelivery();
 				listener.awaitDelivery();
+				Optional<ReplyOverride> override = this.replyOverride;
+				if (direction == this.towardsTarget && override.isPresent()) {
+					override.get().reply(Arrays.copyOf(buffer, count), from.getOutputStream());
+				}
 				dropped |= direction.dropping;
 				if (!direction.dropping) {
 					out.write(buffer, 0, count);
@@ -204,6 +213,14 @@
 		this.refusing = refuse;
 	}
 
+	/**
+	 * Set what answers further requests in place of the target.
+	 * @param override the override; empty to pass requests on
+	 */
+	public void setReplyOverride(Optional<ReplyOverride> override) {
+		this.replyOverride = override;
+	}
+
 	/**
 	 * Return the address on which the proxy listens.
 	 * @return the address
@@ -229,6 +246,20 @@
 		this.threads.shutdownNow();
 	}
 
+	/** Answers requests in place of the target. */
+	@FunctionalInterface
+	public interface ReplyOverride {
+
+		/**
+		 * Answer a request until the connection fails.
+		 * @param request the bytes of the request, or the first of them
+		 * @param out the output to the caller
+		 * @throws IOException when the connection has failed; it is reset then
+		 */
+		void reply(byte[] request, OutputStream out) throws IOException;
+
+	}
+
 	/** What callers that are cut off see. */
 	public enum Cut {
 
