The soak and SilentServiceTests keep the exceptions that end them

An exception that ends a test, or one of its callers, is a violation with its stack trace now, in the notes beside what happened before; the soak also keeps the violations of each failed run in a file of its own. Stricter than before: a caller that ended by an exception ended unseen.

--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SilentServiceTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SilentServiceTests.java
@@ -119,6 +119,9 @@
 				check(fleet, callers, rules, readLogs(folder), violations);
 			}
 		}
+		catch (Exception ex) {
+			violations.addException("the test was", ex);
+		}
 		finally {
 			thread.shutdownNow();
 		}
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakCallers.java
@@ -113,7 +113,14 @@
 			String name = "c" + i;
 			Random random = new Random(seed * count + i);
 			Random partRandom = new Random(~(seed * count + i));
-			this.threads.execute(() -> run(name, random, partRandom));
+			this.threads.execute(() -> {
+				try {
+					run(name, random, partRandom);
+				}
+				catch (RuntimeException ex) {
+					this.violations.addException("caller " + name + " was", ex);
+				}
+			});
 		}
 	}
 
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakTests.java
@@ -26,7 +26,8 @@
  * and after all are cleared.
  * <p>
  * {@code -Dsoak.first=N -Dsoak.seeds=M} selects the seeds, {@code -Dsoak.vms=N} the
- * number of VMs. Logs are written to {@code target/soak}.
+ * number of VMs. Logs are written to {@code target/soak}; the violations of a run that
+ * fails, or that an exception ends, are kept there beside those of later runs.
  */
 public class SoakTests {
 
@@ -147,7 +148,14 @@
 				violations.note("resumed streams: " + callers.resumptions());
 			}
 		}
+		catch (Exception ex) {
+			violations.addException("the test was", ex);
+		}
+		Files.createDirectories(folder);
 		Files.writeString(folder.resolve("notes.txt"), violations.toString());
+		if (!violations.isEmpty()) {
+			Files.writeString(folder.resolve("failed-" + System.currentTimeMillis() + ".txt"), violations.toString());
+		}
 		assertTrue(violations.isEmpty(), "seed " + seed + ", logs in " + folder + ":\n" + violations);
 	}
 
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/Violations.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/Violations.java
@@ -1,5 +1,7 @@
 package org.tallycart.integration.soak;
 
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -24,6 +26,13 @@
 		this.violations.add(withElapsedTime(text));
 	}
 
+	// An exception that ends a test or one of its callers, with its stack trace.
+	void addException(String what, Throwable exception) {
+		StringWriter trace = new StringWriter();
+		exception.printStackTrace(new PrintWriter(trace, true));
+		add(what + " ended by an exception: " + trace);
+	}
+
 	private String withElapsedTime(String text) {
 		return (System.nanoTime() - this.startNanos) / 1_000_000 + " ms: " + text;
 	}
