--- a/integration-tests/src/test/java/org/tallycart/integration/PlayDaysTests.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/PlayDaysTests.java
@@ -186,6 +186,7 @@
 		ended = play();
 		assertEquals(ended.status(), 0, ended.text());
 		assertEquals(calls().size(), 4);
+		assertEquals(rows("entry", "outcome").subList(4, 6), List.of("missing mix 2 played", "sound own 3 played"));
 		assertTrue(calls().get(3).startsWith("run " + path("sound.toml") + " " + path("own.toml") + " --seed 3 "),
 				calls().toString());
 	}
