--- a/core/src/test/java/org/tallycart/core/limit/LimitedFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/limit/LimitedFleetTests.java
@@ -40,7 +40,8 @@
 		return (int) Math.floor(1.5 * perSecond * SPAN_MS / 1_000) + 5;
 	}
 
-	@DataProvider
+	// In virtual time, rows share nothing.
+	@DataProvider(parallel = true)
 	static Object[][] faults() {
 		List<Object[]> rows = new ArrayList<>();
 		for (int vms : new int[] { 6, 18, 86, 300 }) {
@@ -163,7 +164,7 @@
 	 * All VMs start, and the store becomes unavailable before the first of them have read
 	 * the records of the others.
 	 */
-	@Test(dataProvider = "starts", groups = "known-red")
+	@Test(dataProvider = "starts")
 	void aLimitHoldsForVmsThatHaveReadOfOnlySomeOthers(int vms) {
 		List<String> broken = new ArrayList<>();
 		for (long seed = 1; seed <= SEED_COUNT; seed++) {
