--- a/node/src/test/java/org/tallycart/node/ConfigurationChangeRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/ConfigurationChangeRequestTests.java
@@ -307,7 +307,7 @@
 	// route, stages, workspace or limits by which it was accepted have changed, while its
 	// upstreams are silent.
 	@Test(dataProvider = "changes")
-	void requestsInProgressOutlastAChangeBesideSilentUpstreams(Change change) {
+	void requestsInProgressOutlastAConfigurationChangeBesideSilentUpstreams(Change change) {
 		List<Future<String>> pending = beginRequests();
 		apply(change);
 		awaitActive();
@@ -320,7 +320,7 @@
 	// Guards against a request that gets neither an answer nor a refusal since a change
 	// applies while it is read, or while its kept connection is idle.
 	@Test(dataProvider = "changes")
-	void requestsThatAreReadAcrossAChangeAreAnswered(Change change) throws IOException {
+	void requestsThatAreReadAcrossAConfigurationChangeAreAnswered(Change change) throws IOException {
 		try (Socket kept = connect(node()); Socket part = connect(node())) {
 			write(kept, String.format(KEPT, "kept-1"));
 			assertServed(readFramed(kept));
@@ -343,7 +343,7 @@
 	// that get neither an answer nor a refusal, while changes follow each other beside
 	// another trouble.
 	@Test(dataProvider = "troubles")
-	void noRequestEndsWithoutAWordWhileChangesFollowEachOther(Trouble trouble) {
+	void noRequestEndsWithoutAWordWhileConfigurationsFollowEachOther(Trouble trouble) {
 		List<Future<String>> before = beginRequests();
 		beginTrouble(trouble);
 		List<Future<String>> during = new ArrayList<>();
