Let a refusing cut of the fault proxy end while its address is still in use

Cause: a ServerSocket that is closed while another thread waits in accept holds its address until that thread has left the call; binding it again right after the close fails. Test: FaultProxyTests.refusingCutsCanEndAtOnce, 200 cuts; failed before. Fix: the address is bound again until it is free, for 10 s at most.

--- a/standin/src/main/java/org/tallycart/standin/FaultProxyListener.java
+++ b/standin/src/main/java/org/tallycart/standin/FaultProxyListener.java
@@ -32,6 +32,9 @@
 	/** Time in which the accepting thread must hold a connection, in milliseconds. */
 	private static final long HELD_TIMEOUT_MS = 10_000;
 
+	/** Time in which the address of a closed listener must be free, in milliseconds. */
+	private static final long BIND_TIMEOUT_MS = 10_000;
+
 	private static final long POLL_MS = 5;
 
 	private final InetSocketAddress address;
@@ -221,11 +224,23 @@
 		setHoldingConnections(false);
 		this.holdingData = false;
 		if (this.server.isClosed() && !this.closed) {
+			this.server = bindAgain();
+		}
+	}
+
+	// The kernel releases the address once the accepting thread has left the closed
+	// listener.
+	private ServerSocket bindAgain() {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BIND_TIMEOUT_MS);
+		while (true) {
 			try {
-				this.server = bind(this.address);
+				return bind(this.address);
 			}
 			catch (IOException ex) {
-				throw new IllegalStateException("cannot listen on " + this.address + " again", ex);
+				if (System.nanoTime() >= end) {
+					throw new IllegalStateException("cannot listen on " + this.address + " again", ex);
+				}
+				pause();
 			}
 		}
 	}
--- a/standin/src/test/java/org/tallycart/standin/FaultProxyTests.java
+++ b/standin/src/test/java/org/tallycart/standin/FaultProxyTests.java
@@ -28,6 +28,8 @@
 
 	private static final int REPEATED_CUTS = 4;
 
+	private static final int REFUSING_CUTS = 200;
+
 	/** Length of the target's queue, which accepts no connections. */
 	private static final int TARGET_BACKLOG = 1_000;
 
@@ -71,6 +73,18 @@
 		}
 	}
 
+	// Guards against a cut that can't end because its address is still in use.
+	@Test
+	void refusingCutsCanEndAtOnce() throws IOException {
+		try (ServerSocket target = listen(); FaultProxy proxy = start(target)) {
+			for (int i = 0; i < REFUSING_CUTS; i++) {
+				proxy.cut(CUT_HOST, FaultProxy.Cut.NEW_REFUSED);
+				proxy.heal(CUT_HOST);
+			}
+			assertEquals(countAnswered(proxy, CUT_HOST, OTHER_TIMEOUT_MS), CALLERS);
+		}
+	}
+
 	private static ServerSocket listen() throws IOException {
 		return new ServerSocket(0, TARGET_BACKLOG, InetAddress.getLoopbackAddress());
 	}
