Clear requests that were completed shortly before upstreams crashed

Cause: a whole request is confirmed after three crashes in a row, a part of prompts after four. Copies of a frequent request are at each engine, so until the part is known they are in all of its crashes; a completion counted for a request only if it came after the first crash, and a part that crashes three engines within a second leaves no time for one. Fix: as with parts, a request that was completed within the ten seconds before a crash is no suspect of it; VMs are asked for completions since then. A request that turns bad after it was completed is found up to ten seconds later (aRequestCompletedLongBeforeIsConfirmed).

--- a/core/src/main/java/org/tallycart/core/crash/CrashCauseDetector.java
+++ b/core/src/main/java/org/tallycart/core/crash/CrashCauseDetector.java
@@ -54,18 +54,17 @@
 	 */
 	public long clearedFromMs(Fingerprint suspect, long nowMs) {
 		return this.parts.isSuspect(suspect) ? this.parts.clearedFromMs(suspect, nowMs)
-				: this.requests.firstCrashMs(suspect, nowMs);
+				: this.requests.clearedFromMs(suspect, nowMs);
 	}
 
 	/**
 	 * Clear a suspect that was served.
 	 * @param suspect the suspect
 	 * @param servedMs when it was served last, on the monotonic clock, in milliseconds
-	 * @param nowMs the current time on the monotonic clock, in milliseconds
 	 */
-	public void onServed(Fingerprint suspect, long servedMs, long nowMs) {
+	public void onServed(Fingerprint suspect, long servedMs) {
 		this.parts.onServed(suspect, servedMs);
-		this.requests.onCleared(suspect, nowMs);
+		this.requests.onCompleted(suspect, servedMs);
 	}
 
 	/**
--- a/core/src/main/java/org/tallycart/core/crash/CrashingRequestDetector.java
+++ b/core/src/main/java/org/tallycart/core/crash/CrashingRequestDetector.java
@@ -17,8 +17,8 @@
  * A request is confirmed as crashing if it was sent to three upstreams one after the
  * other, each time after the previous one had crashed, under at least two request ids, no
  * other request was involved in as many of these crashes, and no VM reports within the
- * confirmation delay that it has completed the request since the first of them.
- * Simultaneous crashes, such as the loss of a failure domain, therefore confirm no
+ * confirmation delay that it has completed the request since shortly before the first of
+ * them. Simultaneous crashes, such as the loss of a failure domain, therefore confirm no
  * request, and neither does sharing upstreams with a crashing request or sending a
  * request that succeeds elsewhere.
  * <p>
@@ -69,8 +69,18 @@
 	/** Maximum number of retained crashes; the oldest are removed first. */
 	private static final int MAX_CRASHES = 1_000;
 
-	/** Time during which a completed request is not a suspect, in milliseconds. */
-	private static final long CLEARED_RETENTION_MS = 10_000;
+	/**
+	 * Time after a request was completed in which it is no suspect, in milliseconds. Long
+	 * enough that a request which many callers send stays cleared while crashes hold up
+	 * requests; a request whose upstreams have changed since is a suspect after it.
+	 */
+	static final long CLEARED_MS = 10_000;
+
+	/**
+	 * Retention time of when a request was completed, in milliseconds; covers the delay
+	 * of reports.
+	 */
+	private static final long COMPLETED_RETENTION_MS = 2 * CLEARED_MS;
 
 	/**
 	 * Maximum number of confirmed requests within the retention time. Above it, the
@@ -85,7 +95,7 @@
 
 	private final Map<Fingerprint, List<Crash>> crashesBySuspect = new HashMap<>();
 
-	private final Map<Fingerprint, Long> cleared = new HashMap<>();
+	private final Map<Fingerprint, Long> completedMs = new HashMap<>();
 
 	private final Map<Fingerprint, Long> confirmed = new HashMap<>();
 
@@ -118,7 +128,7 @@
 			if (suspect.isAnswered()) {
 				removeWaiting(crash);
 			}
-			if (!this.cleared.containsKey(suspect.fingerprint()) && suspect.isPossibleCause(crash.begun)) {
+			if (!isCleared(suspect.fingerprint(), crash) && suspect.isPossibleCause(crash.begun)) {
 				add(crash, suspect);
 			}
 		}
@@ -133,18 +143,22 @@
 	}
 
 	/**
-	 * Return the time of the first crash that involved a request.
+	 * Return from when on a suspect must have been completed to be cleared.
 	 * @param fingerprint the request
 	 * @param nowMs the current time on the monotonic clock, in milliseconds
-	 * @return the time on the monotonic clock, in milliseconds; {@code nowMs} if there is
-	 * none
+	 * @return the time on the monotonic clock, in milliseconds
 	 */
-	public long firstCrashMs(Fingerprint fingerprint, long nowMs) {
+	public long clearedFromMs(Fingerprint fingerprint, long nowMs) {
 		return this.crashesBySuspect.getOrDefault(fingerprint, List.of())
 			.stream()
 			.mapToLong((crash) -> crash.crashedMs)
 			.min()
-			.orElse(nowMs);
+			.orElse(nowMs) - CLEARED_MS;
+	}
+
+	private boolean isCleared(Fingerprint fingerprint, Crash crash) {
+		Long lastMs = this.completedMs.get(fingerprint);
+		return lastMs != null && crash.crashedMs <= lastMs + CLEARED_MS;
 	}
 
 	// Once the upstream had begun to answer a suspect, those that still waited did not
@@ -168,7 +182,7 @@
 	}
 
 	private void expire(long nowMs) {
-		this.cleared.values().removeIf((at) -> nowMs - at > CLEARED_RETENTION_MS);
+		this.completedMs.values().removeIf((at) -> nowMs - at > COMPLETED_RETENTION_MS);
 		this.confirmed.values().removeIf((at) -> nowMs - at > RETENTION_MS);
 		List<String> expired = new ArrayList<>();
 		this.crashes.forEach((incarnation, crash) -> {
@@ -207,19 +221,23 @@
 	}
 
 	/**
-	 * Clear a request that was completed, and so was involved in crashes only by
-	 * coincidence.
+	 * Record that a request was completed, and so was involved in the crashes until then,
+	 * and in those shortly after, only by coincidence.
 	 * @param fingerprint the request
-	 * @param nowMs the current time on the monotonic clock, in milliseconds
+	 * @param atMs when that was, on the monotonic clock, in milliseconds
 	 */
-	public void onCleared(Fingerprint fingerprint, long nowMs) {
-		this.cleared.put(fingerprint, nowMs);
-		this.confirmationDueMs.remove(fingerprint);
-		for (Crash crash : this.crashesBySuspect.getOrDefault(fingerprint, List.of())) {
-			crash.sentMs.remove(fingerprint);
-			crash.requestIds.remove(fingerprint);
+	public void onCompleted(Fingerprint fingerprint, long atMs) {
+		this.completedMs.merge(fingerprint, atMs, Math::max);
+		for (Crash crash : List.copyOf(this.crashesBySuspect.getOrDefault(fingerprint, List.of()))) {
+			if (isCleared(fingerprint, crash)) {
+				crash.sentMs.remove(fingerprint);
+				crash.requestIds.remove(fingerprint);
+				removeFrom(fingerprint, crash);
+			}
+		}
+		if (!this.crashesBySuspect.containsKey(fingerprint)) {
+			this.confirmationDueMs.remove(fingerprint);
 		}
-		this.crashesBySuspect.remove(fingerprint);
 	}
 
 	/**
--- a/core/src/main/java/org/tallycart/core/crash/RecentCrashReports.java
+++ b/core/src/main/java/org/tallycart/core/crash/RecentCrashReports.java
@@ -82,8 +82,8 @@
 	/**
 	 * Remove a request or a part of prompts from the suspects because it was served.
 	 * @param fingerprint the request or part
-	 * @param servedMs when it was served last, on the monotonic clock, in milliseconds; a
-	 * part stays a suspect of later crashes
+	 * @param servedMs when it was served last, on the monotonic clock, in milliseconds;
+	 * it stays a suspect of later crashes
 	 * @return true if it was a suspect
 	 */
 	public boolean removeSuspect(Fingerprint fingerprint, long servedMs) {
@@ -92,7 +92,9 @@
 		}
 		boolean removed = false;
 		for (Crash crash : this.crashes.values()) {
-			removed |= crash.suspects.removeIf((suspect) -> suspect.fingerprint().equals(fingerprint));
+			if (crash.crashedMs <= servedMs + CrashingRequestDetector.CLEARED_MS) {
+				removed |= crash.suspects.removeIf((suspect) -> suspect.fingerprint().equals(fingerprint));
+			}
 			if (crash.crashedMs <= servedMs + CrashingPartDetector.CLEARED_MS) {
 				removed |= crash.removePart(fingerprint);
 			}
--- a/core/src/test/java/org/tallycart/core/crash/CrashingFleetSimulation.java
+++ b/core/src/test/java/org/tallycart/core/crash/CrashingFleetSimulation.java
@@ -211,8 +211,7 @@
 			.flatMapToLong((vm) -> vm.lastServedMs(suspect).stream())
 			.filter((servedMs) -> servedMs >= sinceMs)
 			.max()
-			.ifPresent((servedMs) -> schedule(MESSAGE_DELAY_MS,
-					() -> this.detector.onServed(suspect, servedMs, this.now)));
+			.ifPresent((servedMs) -> schedule(MESSAGE_DELAY_MS, () -> this.detector.onServed(suspect, servedMs)));
 	}
 
 	private void quarantine(List<Fingerprint> confirmed) {
@@ -311,8 +310,7 @@
 		private void clear(Fingerprint suspect) {
 			long servedMs = CrashingFleetSimulation.this.now;
 			if (this.vm.removeSuspect(suspect, servedMs)) {
-				schedule(MESSAGE_DELAY_MS, () -> CrashingFleetSimulation.this.detector.onServed(suspect, servedMs,
-						CrashingFleetSimulation.this.now));
+				schedule(MESSAGE_DELAY_MS, () -> CrashingFleetSimulation.this.detector.onServed(suspect, servedMs));
 			}
 		}
 
--- a/core/src/test/java/org/tallycart/core/crash/CrashingPartDetectorTests.java
+++ b/core/src/test/java/org/tallycart/core/crash/CrashingPartDetectorTests.java
@@ -21,7 +21,7 @@
 public class CrashingPartDetectorTests {
 
 	/** Seeds at up to 6 VMs; larger fleets have as many requests with fewer. */
-	private static final int SEEDS = 30;
+	private static final int SEEDS = Integer.getInteger("crash.seeds", 30);
 
 	private static final long DURATION_MS = 20_000;
 
@@ -72,7 +72,7 @@
 		CrashCauseDetector detector = detector();
 		for (int i = 1; i < CRASHES_TO_CONFIRM; i++) {
 			crash(detector, i, suspect("r" + i, i * 1_000 - 50, "first", "bad"));
-			detector.onServed(new Fingerprint("first"), i * 1_000 + 20, i * 1_000 + 20);
+			detector.onServed(new Fingerprint("first"), i * 1_000 + 20);
 			assertEquals(confirmed(detector, i * 1_000), List.of());
 		}
 		crash(detector, 4, suspect("r4", 3_950, "first", "bad"));
@@ -99,7 +99,7 @@
 		for (int i = 1; i <= CRASHES_TO_CONFIRM; i++) {
 			crash(detector, i, suspect("r" + i, i * 1_000 - 50, "part"));
 		}
-		detector.onServed(new Fingerprint("part"), 4_100, 4_100);
+		detector.onServed(new Fingerprint("part"), 4_100);
 		assertEquals(confirmed(detector, 4_030), List.of());
 		for (int i = 5; i <= 10; i++) {
 			crash(detector, i, suspect("r" + i, i * 1_000 - 50, "part"));
@@ -117,7 +117,7 @@
 	@Test
 	void aSharedFirstPartIsNotAccusedForThePartsBehindIt() {
 		CrashCauseDetector detector = detector();
-		detector.onServed(new Fingerprint("first"), 500, 500);
+		detector.onServed(new Fingerprint("first"), 500);
 		Set<String> found = new HashSet<>();
 		for (int i = 1; i <= 3 * CRASHES_TO_CONFIRM; i++) {
 			crash(detector, i, suspect("r" + i, i * 1_000 - 50, "first", "bad" + i % 3));
@@ -209,6 +209,35 @@
 		assertTrue(late <= MAX_LATE_SENDS, late + " sends");
 	}
 
+	@DataProvider
+	static Object[][] fleetsWithFrequentRequest() {
+		return new Object[][] { { 3, 3, 10, 1, 2 }, { 3, 3, 10, 2, 2 }, { 6, 8, 24, 1, 3 }, { 6, 8, 24, 2, 1 },
+				{ 6, 8, 24, 3, 2 }, { 60, 60, 150, 3, 2 }, { 300, 300, 600, 3, 2 } };
+	}
+
+	// Guards against a sound request that many callers send alike being quarantined for
+	// the parts of other requests.
+	@Test(dataProvider = "fleetsWithFrequentRequest")
+	void aFrequentRequestIsNotAccusedForParts(int vms, int engines, int perSecond, int parts,
+			double crashingPerSecond) {
+		Fingerprint frequent = new Fingerprint("many");
+		List<Integer> wrong = new ArrayList<>();
+		for (int seed = 0; seed < seeds(vms); seed++) {
+			CrashingFleetSimulation fleet = new CrashingFleetSimulation(vms, engines, seed);
+			fleet.startTraffic(perSecond, "many", true, DURATION_MS);
+			for (int i = 0; i < parts; i++) {
+				int part = i;
+				fleet.schedule(FAULT_MS, () -> fleet.startPartTraffic(crashingPerSecond,
+						(random) -> crashingParts(random, part), DURATION_MS));
+			}
+			fleet.runUntil(DURATION_MS);
+			if (fleet.quarantined().contains(frequent)) {
+				wrong.add(seed);
+			}
+		}
+		assertEquals(wrong, List.of());
+	}
+
 	@DataProvider
 	static Object[][] losses() {
 		return new Object[][] { { 6, 8, 24, 2, 3_500 }, { 6, 8, 24, 1, 1_000 }, { 6, 8, 24, 1, 500 },
--- a/core/src/test/java/org/tallycart/core/crash/CrashingRequestDetectorTests.java
+++ b/core/src/test/java/org/tallycart/core/crash/CrashingRequestDetectorTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -97,11 +98,29 @@
 			detector.onReport(CrashReport.of("e" + i, 1_000 + i * 500, List.of(suspect("a", "a" + i, 900 + i * 500))),
 					1_030 + i * 500);
 		}
-		detector.onCleared(new Fingerprint("a"), 2_100);
+		detector.onCompleted(new Fingerprint("a"), 2_100);
 		assertEquals(confirmed(detector, 2_100), List.of());
 		assertEquals(detector.crashCount(new Fingerprint("a")), 0);
 	}
 
+	// Guards against the evidence of a request that was completed long ago.
+	@Test
+	void aRequestCompletedLongBeforeIsConfirmed() {
+		CrashingRequestDetector detector = new CrashingRequestDetector();
+		Fingerprint request = new Fingerprint("a");
+		detector.onCompleted(request, 1_000);
+		long[] endedMs = LongStream.iterate(1_000 + CrashingRequestDetector.CLEARED_MS - 500, (at) -> at + 400)
+			.limit(5)
+			.toArray();
+		for (int i = 0; i < endedMs.length; i++) {
+			assertEquals(detector.takeConfirmed(endedMs[i]), List.of(), "cleared of the first two");
+			detector.onReport(CrashReport.of("e" + i, endedMs[i], List.of(suspect("a", "a" + i, endedMs[i] - 50))),
+					endedMs[i] + 30);
+		}
+		assertEquals(detector.crashCount(request), 3);
+		assertEquals(confirmed(detector, endedMs[4] + 30), List.of(request));
+	}
+
 	@DataProvider
 	static Object[][] fleets() {
 		return new Object[][] { { 6, 8, 15 }, { 18, 24, 40 }, { 86, 98, 150 }, { 300, 300, 400 } };
--- a/node/src/main/java/org/tallycart/node/crash/CrashReportCoordinator.java
+++ b/node/src/main/java/org/tallycart/node/crash/CrashReportCoordinator.java
@@ -200,7 +200,7 @@
 		}
 		if (this.distributor.collectsReports()) {
 			logCleared(fingerprint, source);
-			this.detector.onServed(fingerprint, servedMs, this.loop.nowMs());
+			this.detector.onServed(fingerprint, servedMs);
 		}
 		this.distributor.sendUp(CrashMessageCodec.encodeCleared(fingerprint, servedMs, this.loop.nowMs()));
 	}
