VMs exchange their lists from the first failed list of VMs

What callers saw: a request that crashes upstreams ended 7 to 12 of them while the store was away, where 6 are allowed: VMs that start together counted its crashes each by itself, since they knew of each other only 3 s after the loss of the store.

Cause: a watch that still waited when the store left is answered up to 1.5 s later. It counted as contact for all feeds, so the exchange began 1.5 s after it, although the list of VMs had failed since 1 s. A VM whose source had this fault did not begin either, as it was told a low age.

Fix: a VM that reads the store exchanges lists from the first failed list of VMs to the next one that is read, whatever other feeds receive. A source that is told of a later list has always said so in its reply; its subscribers now send it that list, so a reader that knows of no other VM gets it as well.

Evidence: VmDiscoveryTests.vmsLearnOfEachOtherIfOnlyTheListsOfTheirRecordsFail failed on the classes of before ("not in time", 1 of 1) and passes (3 of 3). RecordExchangeTests.requestsAreSentFromTheFirstFailedListToTheNextRead uses a method that did not exist before; it passes.

--- a/core/src/main/java/org/tallycart/core/fleet/RecordExchange.java
+++ b/core/src/main/java/org/tallycart/core/fleet/RecordExchange.java
@@ -15,14 +15,15 @@
  * <p>
  * VMs that start together read different lists of the records, and a VM that read a short
  * one is not known to be in need of a longer one, since nobody may contact it. So each VM
- * that has not heard from the store for some time compares its list with one other VM in
- * each interval, in an order of its own, and the one with the earlier list receives the
- * later one. The latest list contains all VMs that have any, since a VM reads the list
- * only after its own record has been written.
+ * whose last read of the list failed, or that has not heard from the store for some time,
+ * compares its list with one other VM in each interval, in an order of its own, and the
+ * one with the earlier list receives the later one. The latest list contains all VMs that
+ * have any, since a VM reads the list only after its own record has been written.
  * <p>
  * Invariants: a VM sends at most one request in an interval, and at most
- * {@link #MAX_LISTS_PER_INTERVAL} lists; it sends no requests while the store replies.
- * Not thread-safe: belongs to one event loop.
+ * {@link #MAX_LISTS_PER_INTERVAL} lists; it sends no requests while it reads the list, or
+ * receives it from a VM to which the store replies. Not thread-safe: belongs to one event
+ * loop.
  *
  * @since 0.1
  */
@@ -38,9 +39,9 @@
 	static final long SETTLED_INTERVAL_MS = 2_000;
 
 	/**
-	 * Time without the store after which VMs exchange their records, in milliseconds.
-	 * Longer than the age of the store's contents at any VM during the failure of a
-	 * relay.
+	 * Time without the store after which VMs exchange their records although no read of
+	 * the list has failed at them, in milliseconds. Longer than the age of the store's
+	 * contents at any VM during the failure of a relay.
 	 */
 	public static final long STORE_SILENCE_MS = 1_500;
 
@@ -70,6 +71,8 @@
 
 	private int equalReplies;
 
+	private boolean listLost;
+
 	private boolean active;
 
 	private long lastRequestMs = NEVER;
@@ -100,6 +103,15 @@
 		this.equalReplies = 0;
 	}
 
+	/**
+	 * Set whether this VM reads the list of the records from the store, and the last read
+	 * failed. Replies of the store to other reads say nothing about the list.
+	 * @param lost true from the first failed read to the next successful one
+	 */
+	public void setListLost(boolean lost) {
+		this.listLost = lost;
+	}
+
 	/**
 	 * Return the VM to compare records with, if a request is due. Must be called in each
 	 * interval.
@@ -109,7 +121,7 @@
 	 * @return the name of the VM; empty if no request is due
 	 */
 	public Optional<String> nextPeer(long storeAgeMs, long nowMs) {
-		this.active = storeAgeMs > STORE_SILENCE_MS;
+		this.active = this.listLost || storeAgeMs > STORE_SILENCE_MS;
 		if (!this.active) {
 			this.equalReplies = 0;
 			return Optional.empty();
@@ -129,7 +141,7 @@
 
 	/**
 	 * Return whether this VM compares its records with those of other VMs.
-	 * @return true if the store has not replied for some time
+	 * @return true if the list cannot be read, or the store has not replied for some time
 	 */
 	public boolean isActive() {
 		return this.active;
--- a/core/src/test/java/org/tallycart/core/fleet/RecordExchangeTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/RecordExchangeTests.java
@@ -51,6 +51,18 @@
 		assertFalse(exchange.isActive());
 	}
 
+	// Guards against a watch of other objects that counts as a read of the list.
+	@Test
+	void requestsAreSentFromTheFirstFailedListToTheNextRead() {
+		RecordExchange exchange = exchange(6);
+		exchange.setListLost(true);
+		assertEquals(requests(exchange, 0, 1_000, 0), 5);
+		assertTrue(exchange.isActive());
+		exchange.setListLost(false);
+		assertEquals(requests(exchange, 1_000, 2_000, 0), 0);
+		assertFalse(exchange.isActive());
+	}
+
 	@Test
 	void noRequestIsSentByAVmThatKnowsNoOther() {
 		assertEquals(requests(exchange(1), 0, 10_000, SILENT_MS), 0);
--- a/node/src/main/java/org/tallycart/node/store/FeedReplica.java
+++ b/node/src/main/java/org/tallycart/node/store/FeedReplica.java
@@ -144,6 +144,14 @@
 		return this.overrides.count();
 	}
 
+	/**
+	 * Return whether this VM reads the store, and the last read of these objects failed.
+	 * @return true from the first failed read to the next successful one
+	 */
+	boolean isReadFailing() {
+		return this.reading && this.storeLost;
+	}
+
 	void startReading() {
 		this.reading = true;
 		this.source.restart();
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -247,6 +247,7 @@
 		this.mesh.ifPresent((peers) -> {
 			long now = this.loop.nowMs();
 			review(peers.watchedRoles(), now);
+			this.exchange.setListLost(this.vmReplica.isReadFailing());
 			this.exchange.nextPeer(storeSilenceMs(now), now).ifPresent(peers::contact);
 		});
 	}
@@ -445,9 +446,17 @@
 		}
 	}
 
+	// A source whose lists of the VMs fail may know of none that could send it a later
+	// one.
 	@Override
 	public void onReply(String vm, NodeBeat reply) {
-		this.chooser.onReply(vm, reply.getPassesOn(), Integer.toUnsignedLong(reply.getStoreAgeMs()), this.loop.nowMs());
+		long now = this.loop.nowMs();
+		this.chooser.onReply(vm, reply.getPassesOn(), Integer.toUnsignedLong(reply.getStoreAgeMs()), now);
+		if (vm.equals(source())) {
+			reply.getKnownList()
+				.forEach((revision) -> sendRecordsIfBehind(vm, revision, now,
+						(peers, records) -> peers.send(vm, records)));
+		}
 	}
 
 	// A reply without a position comes from a VM with the same list, or with a later one,
--- a/node/src/test/java/org/tallycart/node/VmDiscoveryTests.java
+++ b/node/src/test/java/org/tallycart/node/VmDiscoveryTests.java
@@ -1,5 +1,7 @@
 package org.tallycart.node;
 
+import java.util.function.Consumer;
+
 import org.tallycart.platform.standin.StoreStandin;
 import org.testng.annotations.Test;
 
@@ -11,7 +13,9 @@
 
 	private static final int VMS = 3;
 
-	private static final String[] KINDS = { "config", "servers", "tallycart-vms" };
+	private static final String VM_RECORDS = "tallycart-vms";
+
+	private static final String[] KINDS = { "config", "servers", VM_RECORDS };
 
 	@Override
 	int vms() {
@@ -20,7 +24,7 @@
 
 	// Replaces the store by one with the same objects at later revisions, which only VMs
 	// that start from now on can reach.
-	private void replaceStore() {
+	private void replaceStore(Consumer<StoreStandin> fault) {
 		StoreStandin previous = this.store;
 		this.store = StoreStandin.start(this.group);
 		for (int copies = 0; copies <= VMS; copies++) {
@@ -28,22 +32,32 @@
 				previous.names(kind).forEach((name) -> this.store.put(kind, name, previous.spec(kind, name)));
 			}
 		}
-		previous.setDown(true);
+		fault.accept(previous);
 	}
 
-	// Guards against a VM that leads alone, since it has read of none that started after
-	// it and is contacted by none.
-	@Test
-	void vmsThatReadOnlyOfEarlierOnesLearnOfTheOthersWithoutTheStore() {
+	private void vmsLearnOfEachOtherDespite(Consumer<StoreStandin> fault) {
 		await(() -> metrics(this.nodes.get(0)).contains("\nvms_known 1.0"));
 		for (int i = 1; i < VMS; i++) {
-			replaceStore();
+			replaceStore(fault);
 			Node next = Node.start(settings("vm-" + i), 0).get();
 			this.nodes.add(next);
 			await(() -> ready(next));
 		}
-		this.store.setDown(true);
+		fault.accept(this.store);
 		this.nodes.forEach((node) -> await(() -> metrics(node).contains("\nvms_known " + VMS + ".0")));
 	}
 
+	// Guards against a VM that leads alone, since it has read of none that started after
+	// it and is contacted by none.
+	@Test
+	void vmsThatReadOnlyOfEarlierOnesLearnOfTheOthersWithoutTheStore() {
+		vmsLearnOfEachOtherDespite((previous) -> previous.setDown(true));
+	}
+
+	// Guards against a watch of another kind that counts as a read of the VMs' records.
+	@Test
+	void vmsLearnOfEachOtherIfOnlyTheListsOfTheirRecordsFail() {
+		vmsLearnOfEachOtherDespite((previous) -> previous.refuse(VM_RECORDS));
+	}
+
 }
