Connections of the list exchange are closed after lists are sent

What operators saw: after VMs had exchanged lists, each VM kept a connection to every VM that it had sent a list to, for good; found by a review.

Cause: a list was sent like any other message, which marks the connection as in lasting use. A connection also stayed open if the record of its VM was removed before the reply, since its address was looked up in the records.

Fix: lists to contacted VMs are sent by sendToContact, which leaves the mark, and the connection is closed by the time limit of contacts (2 s) after the last of them. Closing at once could cut a long list off. The address is kept with the mark.

--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -40,8 +39,8 @@
 	private static final long TICK_MS = 100;
 
 	/**
-	 * Maximum wait for the reply of a contacted VM, in milliseconds; its connection is
-	 * closed then.
+	 * Maximum wait for the reply of a contacted VM, and for a message to it to be sent,
+	 * in milliseconds; its connection is closed then.
 	 */
 	private static final long CONTACT_TIMEOUT_MS = 2_000;
 
@@ -64,8 +63,12 @@
 	// Times of the requests to contacted VMs that have not replied.
 	private final Map<String, Long> contactedMs = new HashMap<>();
 
-	// VMs whose connections were opened by a contact and have no other use.
-	private final Set<String> contactsOnly = new HashSet<>();
+	// Times of the last messages to contacted VMs that have replied.
+	private final Map<String, Long> sentToContactMs = new HashMap<>();
+
+	// Addresses of the VMs whose connections were opened by a contact and have no other
+	// use.
+	private final Map<String, Address> contactsOnly = new HashMap<>();
 
 	private final PeerReachability reachability;
 
@@ -154,7 +157,12 @@
 	private void tick() {
 		this.table.detectFailures(this.loop.nowMs()).forEach((vm) -> onPeerFailed(vm, "unresponsive"));
 		this.table.dueHeartbeats(this.loop.nowMs()).forEach(this::sendHeartbeat);
-		this.contactedMs.entrySet().removeIf((contact) -> {
+		closeExpired(this.contactedMs);
+		closeExpired(this.sentToContactMs);
+	}
+
+	private void closeExpired(Map<String, Long> startMs) {
+		startMs.entrySet().removeIf((contact) -> {
 			boolean expired = this.loop.nowMs() - contact.getValue() > CONTACT_TIMEOUT_MS;
 			if (expired) {
 				closeContact(contact.getKey());
@@ -165,26 +173,25 @@
 
 	/**
 	 * Send a heartbeat request to a VM whether its roles need one or not. Without other
-	 * use, the connection is closed after the reply. Ignored if the VM has no record.
+	 * use, the connection is closed after the reply, or some time after the last call of
+	 * {@link #sendToContact}. Ignored if the VM has no record.
 	 * @param vm the name of the VM
 	 */
 	public void contact(String vm) {
 		this.table.record(vm).ifPresent((record) -> {
-			boolean contactOnly = !this.clients.containsKey(record.address()) || this.contactsOnly.contains(vm);
+			boolean contactOnly = !this.clients.containsKey(record.address())
+					|| record.address().equals(this.contactsOnly.get(vm));
 			this.contactedMs.put(vm, this.loop.nowMs());
+			this.sentToContactMs.remove(vm);
 			sendHeartbeat(record);
 			if (contactOnly) {
-				this.contactsOnly.add(vm);
+				this.contactsOnly.put(vm, record.address());
 			}
 		});
 	}
 
 	private void closeContact(String vm) {
-		if (this.contactsOnly.remove(vm)) {
-			this.table.record(vm)
-				.map((record) -> this.clients.remove(record.address()))
-				.ifPresent(WireClient::disconnect);
-		}
+		Optional.ofNullable(this.contactsOnly.remove(vm)).map(this.clients::remove).ifPresent(WireClient::disconnect);
 	}
 
 	private void sendHeartbeat(VmRecord record) {
@@ -262,7 +269,9 @@
 		}
 		if (this.contactedMs.remove(vm) != null) {
 			this.heartbeatHandler.onContactReply(vm, heartbeat);
-			closeContact(vm);
+			if (!this.sentToContactMs.containsKey(vm)) {
+				closeContact(vm);
+			}
 		}
 	}
 
@@ -294,6 +303,19 @@
 		});
 	}
 
+	/**
+	 * Send a message to a VM that was contacted and has replied. Unlike {@link #send}, it
+	 * is no lasting use of the connection.
+	 * @param vm the name of the VM
+	 * @param message the message
+	 */
+	public void sendToContact(String vm, Envelope.Builder message) {
+		this.table.record(vm).ifPresent((record) -> {
+			client(record).send(message);
+			this.sentToContactMs.put(vm, this.loop.nowMs());
+		});
+	}
+
 	/**
 	 * Send a message to a VM on the connection that the VM opened to this one. Drops the
 	 * message if that connection is closed; the VM expects lost replies then.
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -466,7 +466,8 @@
 		long now = this.loop.nowMs();
 		boolean behind = reply.getKnownList()
 			.stream()
-			.filter((revision) -> sendRecordsIfBehind(vm, revision, now, (peers, records) -> peers.send(vm, records)))
+			.filter((revision) -> sendRecordsIfBehind(vm, revision, now,
+					(peers, records) -> peers.sendToContact(vm, records)))
 			.count() > 0;
 		this.exchange.onReply(!behind);
 	}
