Only lists of VMs that were compared count as equal

What was seen: a review of the exchange. A VM with the later list that may send no list at the moment (two in 200 ms, one in 600 ms to the same VM) replied without a position, which the asking VM counted as an equal list. In large fleets, from about 60 VMs, a VM with an early list could so count as settled and ask every 2 s in place of every 200 ms.

Fix: a reply has the position of the list whenever the two differ, and the asking VM counts a list as equal only if there is no position, or it has reached that position by then. VMs of earlier versions still omit the position of a later list, so this fault remains with them as repliers.

The counting of the asking VM is shown by no test; the model in RecordExchangeTests counted as the code did and now counts as it does.

--- a/core/src/test/java/org/tallycart/core/fleet/RecordExchangeTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/RecordExchangeTests.java
@@ -190,9 +190,8 @@
 			}
 			int other = Integer.parseInt(peer.get().substring("vm-".length()));
 			this.received[other][(int) (now / 1_000)]++;
-			int before = this.known[vm];
 			send(other, vm, now);
-			this.exchanges[vm].onReply(this.known[other] >= before);
+			this.exchanges[vm].onReply(this.known[other] == this.known[vm]);
 			send(vm, other, now);
 		}
 
--- a/node/src/main/java/org/tallycart/node/store/FeedReplica.java
+++ b/node/src/main/java/org/tallycart/node/store/FeedReplica.java
@@ -130,13 +130,13 @@
 	}
 
 	/**
-	 * Return whether another VM's replica is ahead of this one.
+	 * Return whether another VM's replica is at another position than this one.
 	 * @param other the state of the other VM's replica, of this kind or another one
-	 * @return true if it is of this kind and at a later position
+	 * @return true if it is of this kind and at an earlier or a later position
 	 */
-	boolean isBehind(FeedRevision other) {
+	boolean differsFrom(FeedRevision other) {
 		return other.getFeed() == this.feed
-				&& this.position.isBefore(new StorePosition(other.getEra(), other.getRevision()));
+				&& !this.position.equals(new StorePosition(other.getEra(), other.getRevision()));
 	}
 
 	// Returns the number of objects that differ from the restored store.
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -421,7 +421,7 @@
 				.forEach((revision) -> sendRecordsIfBehind(vm, revision, now,
 						(peers, records) -> peers.reply(vm, records)));
 		}
-		if (request.getKnownList().stream().anyMatch(this.vmReplica::isBehind)) {
+		if (request.getKnownList().stream().anyMatch(this.vmReplica::differsFrom)) {
 			reply.addKnown(this.vmReplica.revision());
 		}
 	}
@@ -459,8 +459,8 @@
 		}
 	}
 
-	// A reply without a position comes from a VM with the same list, or with a later one,
-	// which it has sent before the reply.
+	// A reply without a position comes from a VM with the same list. VMs of earlier
+	// versions also omit the position of a later list.
 	@Override
 	public void onContactReply(String vm, NodeBeat reply) {
 		long now = this.loop.nowMs();
@@ -469,7 +469,7 @@
 			.filter((revision) -> sendRecordsIfBehind(vm, revision, now,
 					(peers, records) -> peers.sendToContact(vm, records)))
 			.count() > 0;
-		this.exchange.onReply(!behind);
+		this.exchange.onReply(!behind && reply.getKnownList().stream().noneMatch(this.vmReplica::differsFrom));
 	}
 
 	@Override
