--- a/node/src/test/java/org/tallycart/node/CrashingRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/CrashingRequestTests.java
@@ -158,7 +158,7 @@
 	}
 
 	/** The platform's store is down during the whole test. */
-	@Test(groups = "known-red")
+	@Test
 	void itIsKnownAtAllVmsWhileTheStoreIsAway() {
 		this.store.setDown(true);
 		sendCopies(CRASHING, COPIES);
