--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -247,6 +247,7 @@
 		this.mesh.ifPresent((peers) -> {
 			long now = this.loop.nowMs();
 			review(peers.watchedRoles(), now);
+			this.exchange.setListLost(this.vmReplica.isReadFailing());
 			this.exchange.nextPeer(storeSilenceMs(now), now).ifPresent(peers::contact);
 		});
 	}
@@ -420,7 +421,7 @@
 				.forEach((revision) -> sendRecordsIfBehind(vm, revision, now,
 						(peers, records) -> peers.reply(vm, records)));
 		}
-		if (request.getKnownList().stream().anyMatch(this.vmReplica::isBehind)) {
+		if (request.getKnownList().stream().anyMatch(this.vmReplica::differsFrom)) {
 			reply.addKnown(this.vmReplica.revision());
 		}
 	}
@@ -445,21 +446,30 @@
 		}
 	}
 
+	// A source whose lists of the VMs fail may know of none that could send it a later
+	// one.
 	@Override
 	public void onReply(String vm, NodeBeat reply) {
-		this.chooser.onReply(vm, reply.getPassesOn(), Integer.toUnsignedLong(reply.getStoreAgeMs()), this.loop.nowMs());
+		long now = this.loop.nowMs();
+		this.chooser.onReply(vm, reply.getPassesOn(), Integer.toUnsignedLong(reply.getStoreAgeMs()), now);
+		if (vm.equals(source())) {
+			reply.getKnownList()
+				.forEach((revision) -> sendRecordsIfBehind(vm, revision, now,
+						(peers, records) -> peers.send(vm, records)));
+		}
 	}
 
-	// A reply without a position comes from a VM with the same list, or with a later one,
-	// which it has sent before the reply.
+	// A reply without a position comes from a VM with the same list. VMs of earlier
+	// versions also omit the position of a later list.
 	@Override
 	public void onContactReply(String vm, NodeBeat reply) {
 		long now = this.loop.nowMs();
 		boolean behind = reply.getKnownList()
 			.stream()
-			.filter((revision) -> sendRecordsIfBehind(vm, revision, now, (peers, records) -> peers.send(vm, records)))
+			.filter((revision) -> sendRecordsIfBehind(vm, revision, now,
+					(peers, records) -> peers.sendToContact(vm, records)))
 			.count() > 0;
-		this.exchange.onReply(!behind);
+		this.exchange.onReply(!behind && reply.getKnownList().stream().noneMatch(this.vmReplica::differsFrom));
 	}
 
 	@Override
