A hedge goes to an upstream that answers

Callers saw streams that went on late or not at all after their upstream was gone without a word, in fleets of 60 and 300 VMs.

Cause: a hedge was sent to any upstream that was usable and not tried. A VM of many sends an engine one stream in tens of seconds, so it does not know of most engines that are gone, and a hedge often went to a second one. It was replaced only after the limit for a first event (1,200 ms) once more, and each such hedge took a retry of the VM's share of the budget, which has two to three.

HedgeTargets prefers upstreams that have sent something to this VM within the limit between two parts, and takes any usable one if there is none. A VM that has streams in progress knows a few such engines. New requests are chosen as before. UpstreamPicker and the model use the same code.

--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamState.java
@@ -213,6 +213,15 @@
 		return silentMs;
 	}
 
+	/**
+	 * Return when the upstream last sent something to this VM.
+	 * @return the monotonic time, in milliseconds; when it was listed if it has sent
+	 * nothing
+	 */
+	public long lastHeardMs() {
+		return this.lastHeardMs;
+	}
+
 	/**
 	 * Return whether the upstream is silent under a request of this VM.
 	 * @param nowMs the current monotonic time, in milliseconds
--- a/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
@@ -27,6 +27,15 @@
 
 	private static final double SERVED_RATIO = 0.95;
 
+	/** Length of a silence after which an upstream goes on, in milliseconds. */
+	private static final long SILENT_MS = 1_500;
+
+	/** Time for which an upstream that goes on may be avoided, in milliseconds. */
+	private static final long AVOIDED_MS = 1_000;
+
+	/** Least share of the streams at upstreams that have gone on, of an equal one. */
+	private static final double MIN_SHARE_RATIO = 0.8;
+
 	/**
 	 * Time within which a stream goes on after its upstream is gone: the longest silence
 	 * limit, one more search, the stage work and a connection that fails.
@@ -181,7 +190,9 @@
 	// that is gone.
 	@Test(dataProvider = "largeSizes", groups = "known-red")
 	void streamsSentToAnUpstreamThatIsGoneGoOnElsewhereInLargeFleets(int vms) {
-		assertContinued(fleetWithLostEngines(vms, 0).recorder().continuedShare(true, CONTINUED_MS), 0);
+		for (long seed = 0; seed < seeds(vms); seed++) {
+			assertContinued(fleetWithLostEngines(vms, seed).recorder().continuedShare(true, CONTINUED_MS), seed);
+		}
 	}
 
 	@DataProvider
@@ -203,6 +214,28 @@
 		assertTrue(share >= SERVED_RATIO, "seed " + seed + ": " + share + " of the streams go on");
 	}
 
+	// Guards against upstreams that are avoided although they have gone on.
+	@Test(dataProvider = "sizes")
+	void upstreamsThatWereSilentGetTheirShareOfStreamsAgain(int vms) {
+		for (long seed = 0; seed < seeds(vms); seed++) {
+			SilentUpstreamsSimulation fleet = new SilentUpstreamsSimulation(vms, Reaction.HEDGE, seed);
+			fleet.run(WARM_UP_MS);
+			List<SimulatedUpstream> silenced = fleet.sample(fleet.engines(), fleet.engines().size() / 4);
+			silenced.forEach((engine) -> engine.silence(SILENT_MS));
+			fleet.run(SILENT_MS + AVOIDED_MS);
+			int silencedBefore = arrivals(silenced);
+			int allBefore = arrivals(fleet.engines());
+			fleet.run(DISTURBED_MS);
+			double expected = (double) silenced.size() / fleet.engines().size();
+			double share = (double) (arrivals(silenced) - silencedBefore) / (arrivals(fleet.engines()) - allBefore);
+			assertTrue(share >= expected * MIN_SHARE_RATIO, "seed " + seed + ": " + share + " of the streams");
+		}
+	}
+
+	private static int arrivals(List<SimulatedUpstream> upstreams) {
+		return upstreams.stream().mapToInt((upstream) -> upstream.arrivals).sum();
+	}
+
 	// Guards against a simulation in which no stream can break.
 	@Test(dataProvider = "sizes")
 	void streamsBreakIfAnAttemptIsGivenUpBeforeTheNextOneIsFound(int vms) {
--- a/core/src/test/java/org/tallycart/core/attempt/SimulatedAttempt.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SimulatedAttempt.java
@@ -50,12 +50,8 @@
 		this.initialMs = request.stream ? streamInitialMs : request.limits.plainMs();
 	}
 
-	private long subsequentMs() {
-		return this.request.stream ? this.request.limits.subsequentMs() : this.request.limits.plainMs();
-	}
-
 	long limitMs() {
-		return this.hasBody ? subsequentMs() : this.initialMs;
+		return this.hasBody ? this.request.subsequentMs() : this.initialMs;
 	}
 
 	void send() {
@@ -82,7 +78,7 @@
 	private void onSilence() {
 		this.state.onSilent(this.lastHeardMs, this.fleet.clock.nowMs());
 		this.request.onSilent(this);
-		restartTimer(subsequentMs());
+		restartTimer(this.request.subsequentMs());
 	}
 
 	private void markHeard() {
@@ -103,7 +99,7 @@
 		if (!this.ended) {
 			markHeard();
 			this.hasBody = true;
-			restartTimer(subsequentMs());
+			restartTimer(this.request.subsequentMs());
 			markPrefillDone();
 			this.request.onHeard(this);
 			this.request.onEvent(this, event);
--- a/core/src/test/java/org/tallycart/core/attempt/SimulatedRequest.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SimulatedRequest.java
@@ -11,6 +11,7 @@
 import org.tallycart.core.serving.Prompt;
 import org.tallycart.core.serving.PromptPart;
 import org.tallycart.core.upstream.EngineChooser;
+import org.tallycart.core.upstream.HedgeTargets;
 import org.tallycart.core.upstream.LeastLoadedChooser;
 import org.tallycart.core.upstream.PromptCost;
 import org.tallycart.core.upstream.UpstreamChoice;
@@ -188,7 +189,8 @@
 
 	private void startAttempt() {
 		boolean hedge = this.attempts.current().isPresent();
-		Optional<UpstreamChoice> choice = choose(hedge ? hedgeCandidates() : candidates());
+		Optional<UpstreamChoice> choice = hedge
+				? choose(HedgeTargets.preferred(hedgeCandidates(), subsequentMs(), now())) : choose(candidates());
 		if (this.deadlineMs - now() < MIN_ATTEMPT_MS || choice.isEmpty()) {
 			failOrAbandonHedge();
 			return;
@@ -205,14 +207,16 @@
 		}
 	}
 
+	long subsequentMs() {
+		return this.stream ? this.limits.subsequentMs() : this.limits.plainMs();
+	}
+
 	private List<UpstreamState> candidates() {
 		return this.vm.directory.candidates(service(), now());
 	}
 
 	private List<UpstreamState> hedgeCandidates() {
-		return candidates().stream()
-			.filter((state) -> state.isUsable(now()) && !this.tried.contains(state.entry().id()))
-			.toList();
+		return HedgeTargets.from(candidates(), this.tried, now());
 	}
 
 	private Optional<UpstreamChoice> choose(List<UpstreamState> usable) {
--- a/core/src/test/java/org/tallycart/core/attempt/SimulatedUpstream.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SimulatedUpstream.java
@@ -64,6 +64,9 @@
 
 	boolean failed;
 
+	/** Number of attempts that were sent to this upstream. */
+	int arrivals;
+
 	SimulatedUpstream(SilentUpstreamsSimulation fleet, String service, int number, int slots) {
 		this.fleet = fleet;
 		this.service = service;
@@ -154,6 +157,7 @@
 	}
 
 	void connect(SimulatedAttempt attempt) {
+		this.arrivals++;
 		boolean pooled = this.fleet.random.nextBoolean();
 		// A restarted upstream listens on another port.
 		boolean refused = this.down || attempt.startedMs != this.startedMs;
--- a/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
+++ b/node/src/main/java/org/tallycart/node/request/UpstreamPicker.java
@@ -9,6 +9,7 @@
 
 import org.tallycart.core.limit.Permit;
 import org.tallycart.core.upstream.EngineChooser;
+import org.tallycart.core.upstream.HedgeTargets;
 import org.tallycart.core.upstream.LeastLoadedChooser;
 import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
@@ -48,6 +49,8 @@
 
 	private Supplier<List<UpstreamState>> source;
 
+	private boolean prefersHeard;
+
 	private final Set<String> tried = new HashSet<>();
 
 	private final Set<String> denied = new HashSet<>();
@@ -69,14 +72,17 @@
 
 	/** Pick an upstream and mark it as tried; the listener gets the result. */
 	void pick() {
+		this.prefersHeard = false;
 		pickFrom(this.candidates::now);
 	}
 
 	/**
 	 * Pick an upstream that was not tried and is not silent, for an attempt beside
-	 * another one; the listener gets the result.
+	 * another one; the listener gets the result. Upstreams that have sent something to
+	 * this VM a moment ago take precedence.
 	 */
 	void pickHedge() {
+		this.prefersHeard = true;
 		pickFrom(this::hedgeCandidates);
 	}
 
@@ -89,10 +95,7 @@
 	}
 
 	private List<UpstreamState> hedgeCandidates() {
-		return this.candidates.now()
-			.stream()
-			.filter((state) -> state.isUsable(now()) && !this.tried.contains(state.entry().id()))
-			.toList();
+		return HedgeTargets.from(this.candidates.now(), this.tried, now());
 	}
 
 	private void pickFrom(Supplier<List<UpstreamState>> source) {
@@ -139,13 +142,18 @@
 	private Optional<UpstreamChoice> choose(List<UpstreamState> usable) {
 		List<UpstreamState> untried = new ArrayList<>(usable);
 		untried.removeIf((state) -> this.tried.contains(state.entry().id()));
-		List<UpstreamState> from = untried.isEmpty() ? usable : untried;
+		List<UpstreamState> from = preferred(untried.isEmpty() ? usable : untried);
 		if (this.plan.request().prompt().isPresent()) {
 			return EngineChooser.choose(this.plan.request().prompt().get(), from, now());
 		}
 		return LeastLoadedChooser.choose(from, this.context.failureDomain(), now());
 	}
 
+	private List<UpstreamState> preferred(List<UpstreamState> targets) {
+		long recentMs = SilenceLimits.of(this.plan.route(), true).subsequentMs();
+		return this.prefersHeard ? HedgeTargets.preferred(targets, recentMs, now()) : targets;
+	}
+
 	private void onPermit(UpstreamChoice choice, Permit permit, long number) {
 		if (!permit.granted()) {
 			onDenied(choice, number);
--- a/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
@@ -39,6 +39,12 @@
 
 	private static final int EVENT_INTERVAL_MS = 60;
 
+	/** Number of events of a stream that outlasts a silence. */
+	private static final int LONG_EVENTS = 50;
+
+	/** Number of sessions of which each engine serves some. */
+	private static final int MAX_SESSIONS = 50;
+
 	/** Time after which all streams have begun, and none has ended. */
 	private static final int UNDER_WAY_MS = 350;
 
@@ -214,6 +220,45 @@
 		assertEquals(this.upstreams.get("i-plain2").runCount("hedged"), 1);
 	}
 
+	@DataProvider
+	Object[][] otherEngines() {
+		return new Object[][] { { 0 }, { 1 } };
+	}
+
+	// Guards against a hedge that goes to a second upstream which is gone, while another
+	// one answers.
+	@Test(dataProvider = "otherEngines")
+	void aHedgeGoesToAnUpstreamThatAnswersOthers(int answering) {
+		addUpstream("engine", "i-engine2");
+		await(() -> metrics(node()).contains("upstreams 7.0"));
+		UpstreamStandin engine = sessionEngine(node());
+		List<UpstreamStandin> others = ofService("engine").filter((upstream) -> upstream != engine).toList();
+		UpstreamStandin answers = others.get(answering);
+		String session = sessionAt(answers);
+		ofService("engine").forEach((upstream) -> upstream.setEventCount(LONG_EVENTS));
+		List<Future<String>> pending = begin(1, "/stream/x", PIECES);
+		Future<String> other = this.threads.submit(() -> request(node(), "/fragile/x", "other", session));
+		pause(UNDER_WAY_MS);
+		ofService("engine").filter((upstream) -> upstream != answers).forEach((upstream) -> upstream.setSilent(true));
+		responses(pending).forEach((response) -> assertTrue(response.endsWith(LAST_CHUNK), response));
+		assertEquals(answers.runCount("r0"), 1);
+		assertTrue(responses(List.of(other)).get(0).endsWith(LAST_CHUNK));
+	}
+
+	// Returns the headers of a session whose streams go to an upstream.
+	private String sessionAt(UpstreamStandin upstream) {
+		ofService("engine").forEach((engine) -> engine.setEventCount(1));
+		for (int i = 0; i < MAX_SESSIONS; i++) {
+			String headers = GENERATION.replace("bb:200", "b" + i + ":200");
+			String id = "session" + i;
+			request(node(), "/fragile/x", id, headers);
+			if (upstream.runCount(id) > 0) {
+				return headers;
+			}
+		}
+		throw new AssertionError("no session at the upstream");
+	}
+
 	// Guards against a stream that waits for an upstream which is gone without a word.
 	@Test
 	void aStreamGoesOnElsewhereWhenItsUpstreamStaysSilent() {
