Count the streams at upstreams that were silent over all seeds

Cause: the test was wrong. It counted about a hundred streams a seed.

The streams are now counted over all seeds of a size, and 0.9 of an equal share is demanded in place of 0.8.

SilentUpstreamsFleetTests, HedgeTargetsTests and UpstreamDirectoryTests: 128 tests pass.

--- a/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
@@ -34,7 +34,7 @@
 	private static final long AVOIDED_MS = 1_000;
 
 	/** Least share of the streams at upstreams that have gone on, of an equal one. */
-	private static final double MIN_SHARE_RATIO = 0.8;
+	private static final double MIN_SHARE_RATIO = 0.9;
 
 	/**
 	 * Time within which a stream goes on after its upstream is gone: the longest silence
@@ -217,6 +217,9 @@
 	// Guards against upstreams that are avoided although they have gone on.
 	@Test(dataProvider = "sizes")
 	void upstreamsThatWereSilentGetTheirShareOfStreamsAgain(int vms) {
+		int all = 0;
+		double atSilenced = 0;
+		double expected = 0;
 		for (long seed = 0; seed < seeds(vms); seed++) {
 			SilentUpstreamsSimulation fleet = new SilentUpstreamsSimulation(vms, Reaction.HEDGE, seed);
 			fleet.run(WARM_UP_MS);
@@ -226,10 +229,12 @@
 			int silencedBefore = arrivals(silenced);
 			int allBefore = arrivals(fleet.engines());
 			fleet.run(DISTURBED_MS);
-			double expected = (double) silenced.size() / fleet.engines().size();
-			double share = (double) (arrivals(silenced) - silencedBefore) / (arrivals(fleet.engines()) - allBefore);
-			assertTrue(share >= expected * MIN_SHARE_RATIO, "seed " + seed + ": " + share + " of the streams");
+			int sent = arrivals(fleet.engines()) - allBefore;
+			all += sent;
+			atSilenced += arrivals(silenced) - silencedBefore;
+			expected += (double) sent * silenced.size() / fleet.engines().size();
 		}
+		assertTrue(atSilenced >= expected * MIN_SHARE_RATIO, atSilenced + " of " + all + " streams");
 	}
 
 	private static int arrivals(List<SimulatedUpstream> upstreams) {
