--- a/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SilentUpstreamsFleetTests.java
@@ -188,7 +188,7 @@
 
 	// Guards against the same in larger fleets, where hedges often meet a second upstream
 	// that is gone.
-	@Test(dataProvider = "largeSizes", groups = "known-red")
+	@Test(dataProvider = "largeSizes")
 	void streamsSentToAnUpstreamThatIsGoneGoOnElsewhereInLargeFleets(int vms) {
 		for (long seed = 0; seed < seeds(vms); seed++) {
 			assertContinued(fleetWithLostEngines(vms, seed).recorder().continuedShare(true, CONTINUED_MS), seed);
