A resumed stream has a deadline, a guard and an end at a stop while its origin is looked up

Callers saw: nothing at all, if the lookup of where their stream began was not answered, if an error ended its callback, or if the VM stopped meanwhile.

Cause: CallerHandler.resume started the RequestFlow, which has the deadline, the guard against errors and the place in InFlightRequests, only in the callback of the lookup.

Evidence: ResumedStreamTests, in virtual time, with a lookup that the test answers (KnownStreamOrigins is the interface that it needed).

Why it works: ResumedRequest owns the request until its flow starts. It ends once: with 503 and Retry-After (nothing has run) at its deadline, at a stop or after an error, with its caller, or with the start of the flow, which GuardedCallbacks runs. A lookup that is answered later is only logged.

--- a/node/src/main/java/org/tallycart/node/request/CallerHandler.java
+++ b/node/src/main/java/org/tallycart/node/request/CallerHandler.java
@@ -1,7 +1,6 @@
 package org.tallycart.node.request;
 
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.HttpRequest;
@@ -13,7 +12,6 @@
 import org.tallycart.core.serving.Route;
 import org.tallycart.core.serving.ServingConfig;
 import org.tallycart.core.serving.Workspace;
-import org.tallycart.core.stream.StreamOrigin;
 import org.tallycart.http.event.ConnectionEnd;
 import org.tallycart.http.event.RequestHandler;
 import org.tallycart.http.event.RequestLimits;
@@ -90,39 +88,13 @@
 					ContentFingerprints.shortText(plan.content().parts()), "resumes",
 					request.resumedRequest().orElse("none"), "after_event", request.lastEventId().orElse("none"));
 		if (request.resumesStream() && route.get().kind() == RequestKind.STREAMING) {
-			resume(plan, responder);
+			new ResumedRequest(this.context, plan, responder).start();
 		}
 		else {
 			new RequestFlow(this.context, plan, responder).start();
 		}
 	}
 
-	// Events of two software versions do not fit together, so a stream of an unknown
-	// version is not resumed.
-	private void resume(RequestPlan plan, Responder responder) {
-		AtomicBoolean callerGone = new AtomicBoolean();
-		responder.onCallerDisconnected(() -> callerGone.set(true));
-		this.context.streamOrigins().find(plan.request().resumedRequest(), plan.service(), (origin, source) -> {
-			this.context.log()
-				.request(EventCode.STREAM_ORIGIN_SOUGHT, plan.request().id(), "resumes",
-						plan.request().resumedRequest().orElse("none"), "software",
-						origin.map(StreamOrigin::softwareVersion).orElse("unknown"), "by", source, "took_ms",
-						this.context.loop().nowMs() - plan.arrivedMs());
-			if (callerGone.get()) {
-				this.context.log().request(EventCode.CALLER_GONE, plan.request().id(), "sends", 0);
-				this.context.metrics().onRequestEnded("caller_gone", this.context.loop().nowMs() - plan.arrivedMs());
-			}
-			else if (origin.filter((begun) -> plan.route().leadsTo(begun.service())).isEmpty()) {
-				decline(responder, plan.request().id(), CallerResponses.notRun(RetryAfterPolicy.UNREACHABLE_MS),
-						origin.isEmpty() ? "the software version that began the stream is unknown"
-								: "the route no longer leads to the service that began the stream");
-			}
-			else {
-				new RequestFlow(this.context, plan.resumedAt(origin.get()), responder).start();
-			}
-		});
-	}
-
 	private void decline(Responder responder, String id, HttpResponse head, String reason) {
 		this.context.log().request(EventCode.REQUEST_DECLINED, id, "status", head.getCode(), "reason", reason);
 		this.context.metrics().onRequestEnded("declined_" + head.getCode(), 0);
--- a/node/src/main/java/org/tallycart/node/request/InFlightRequests.java
+++ b/node/src/main/java/org/tallycart/node/request/InFlightRequests.java
@@ -14,16 +14,16 @@
  */
 public final class InFlightRequests {
 
-	private final Set<RequestFlow> flows = new LinkedHashSet<>();
+	private final Set<InFlightRequest> requests = new LinkedHashSet<>();
 
 	private boolean stopping;
 
-	void add(RequestFlow flow) {
-		this.flows.add(flow);
+	void add(InFlightRequest request) {
+		this.requests.add(request);
 	}
 
-	void remove(RequestFlow flow) {
-		this.flows.remove(flow);
+	void remove(InFlightRequest request) {
+		this.requests.remove(request);
 	}
 
 	/**
@@ -32,17 +32,17 @@
 	 */
 	public void refuseNotSent() {
 		this.stopping = true;
-		all().forEach(RequestFlow::refuseIfNotSent);
+		all().forEach(InFlightRequest::refuseIfNotSent);
 	}
 
 	/** End all requests, whatever their progress, since this VM stops. */
 	public void stop() {
 		this.stopping = true;
-		all().forEach(RequestFlow::stop);
+		all().forEach(InFlightRequest::stop);
 	}
 
-	private List<RequestFlow> all() {
-		return new ArrayList<>(this.flows);
+	private List<InFlightRequest> all() {
+		return new ArrayList<>(this.requests);
 	}
 
 	boolean isStopping() {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -33,10 +33,10 @@
  * is answered; a hedge whose upstream is silent, too, is replaced. Not thread-safe:
  * confined to the event loop.
  */
-final class RequestFlow implements StageExecution.Listener, UpstreamPicker.Listener, Attempt.Listener {
+final class RequestFlow implements InFlightRequest, StageExecution.Listener, UpstreamPicker.Listener, Attempt.Listener {
 
 	/** Time reserved for the response to reach the caller, in milliseconds. */
-	private static final long RESPONSE_MARGIN_MS = 15;
+	static final long RESPONSE_MARGIN_MS = 15;
 
 	/** Least remaining time for which an attempt is started, in milliseconds. */
 	private static final long MIN_ATTEMPT_MS = 30;
@@ -544,15 +544,15 @@
 		}
 	}
 
-	/** Refuse the request if it has not been sent to any upstream, since the VM stops. */
-	void refuseIfNotSent() {
+	@Override
+	public void refuseIfNotSent() {
 		if (!this.finished && !this.mayHaveRun && this.attempts.current().isEmpty()) {
 			stop();
 		}
 	}
 
-	/** End the request, whatever its progress, since the VM stops. */
-	void stop() {
+	@Override
+	public void stop() {
 		if (this.finished) {
 			return;
 		}
--- a/node/src/main/java/org/tallycart/node/request/ServingContext.java
+++ b/node/src/main/java/org/tallycart/node/request/ServingContext.java
@@ -11,7 +11,7 @@
 import org.tallycart.node.piece.PieceService;
 import org.tallycart.node.statement.PermitService;
 import org.tallycart.node.statement.UpstreamStatements;
-import org.tallycart.node.stream.StreamOriginService;
+import org.tallycart.node.stream.KnownStreamOrigins;
 
 /**
  * Dependencies shared by all requests of a process.
@@ -35,7 +35,7 @@
  */
 public record ServingContext(String failureDomain, EventLoop loop, NodeLog log, HttpCaller http,
 		UpstreamDirectory directory, ColdStartLimiter coldStartLimiter, UpstreamStatements statements,
-		PermitService permits, PieceService pieces, StreamOriginService streamOrigins, InFlightRequests inFlight,
+		PermitService permits, PieceService pieces, KnownStreamOrigins streamOrigins, InFlightRequests inFlight,
 		RetryBudgets retryBudgets, UpstreamCrashDetector crashDetector, Quarantine quarantine, NodeMetrics metrics) {
 
 }
--- a/node/src/main/java/org/tallycart/node/stream/StreamOriginService.java
+++ b/node/src/main/java/org/tallycart/node/stream/StreamOriginService.java
@@ -26,7 +26,7 @@
  *
  * @since 0.1
  */
-public final class StreamOriginService implements PeerMessageHandler, StreamOriginPeers {
+public final class StreamOriginService implements PeerMessageHandler, StreamOriginPeers, KnownStreamOrigins {
 
 	/**
 	 * Time for which a lookup waits until a process that has just started has loaded the
@@ -75,23 +75,12 @@
 		peers.onRecords(this.registry::updateVms);
 	}
 
-	/**
-	 * Record that a stream has begun, before its first event is passed on.
-	 * @param id the id of the caller's request
-	 * @param origin where it began
-	 * @param maxMs the longest time until its caller resumes it, in milliseconds
-	 */
+	@Override
 	public void onBegun(String id, StreamOrigin origin, long maxMs) {
 		this.registry.onBegun(id, origin, maxMs, this.loop.nowMs());
 	}
 
-	/**
-	 * Find where a stream began that a caller resumes.
-	 * @param id the id of the request that began it; empty if the caller does not name it
-	 * @param service the service that would serve the resumed stream
-	 * @param consumer receives the origin and how it was found, at once or later; empty
-	 * if the stream may have begun at any version
-	 */
+	@Override
 	public void find(Optional<String> id, String service, BiConsumer<Optional<StreamOrigin>, LookupSource> consumer) {
 		BiConsumer<Optional<StreamOrigin>, LookupSource> counting = (origin, source) -> {
 			this.metrics.onStreamResumed(source.name().toLowerCase(Locale.ROOT));
