Comments of a stream release no stage results

Callers saw: a stream that started late, or not at all when its pool was busy: its stage work was done a second time.

Cause: Attempt.onEvents passed comments on as events, and RequestFlow.onEvents releases the stage results with the first ones. An engine that sends only comments then falls silent, and its hedge needs new stage work.

Evidence: EndlessUpstreamTests.commentsReleaseNoStageResults, an engine that sends comments before any event. After: 2, and their results are released once the stream has an event.

Why it works: bytes without an event that holds a field go to onComments, which only writes them. The first event is also measured at the first real one now.

--- a/node/src/main/java/org/tallycart/node/request/Attempt.java
+++ b/node/src/main/java/org/tallycart/node/request/Attempt.java
@@ -207,12 +207,15 @@
 		}
 	}
 
-	// Part of an event may be all that the upstream ever sends.
+	// Part of an event, or comments, may be all that the upstream ever sends.
 	private void onEvents(UpstreamReply head, byte[] complete) {
 		if (this.events.hasProgressed()) {
 			onProgress(head);
+			this.listener.onEvents(complete, this.events.lastId());
+		}
+		else {
+			this.listener.onComments(complete);
 		}
-		this.listener.onEvents(complete, this.events.lastId());
 	}
 
 	private void onProgress(UpstreamReply head) {
@@ -418,7 +421,13 @@
 		void onStreamHead(Attempt attempt, UpstreamReply head);
 
 		/**
-		 * Handle complete events of the stream.
+		 * Handle comments and blank lines of the stream, which are no progress.
+		 * @param comments the bytes of the comments
+		 */
+		void onComments(byte[] comments);
+
+		/**
+		 * Handle complete events of the stream, at least one of which holds a field.
 		 * @param events the bytes of the events
 		 * @param lastId the id of the last event; empty if none has had one
 		 */
--- a/node/src/main/java/org/tallycart/node/request/GuardedCallbacks.java
+++ b/node/src/main/java/org/tallycart/node/request/GuardedCallbacks.java
@@ -80,6 +80,11 @@
 		run(() -> this.flow.onStreamHead(attempt, head));
 	}
 
+	@Override
+	public void onComments(byte[] comments) {
+		run(() -> this.flow.onComments(comments));
+	}
+
 	@Override
 	public void onEvents(byte[] events, Optional<String> lastId) {
 		run(() -> this.flow.onEvents(events, lastId));
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -368,6 +368,11 @@
 		}
 	}
 
+	@Override
+	public void onComments(byte[] comments) {
+		this.responder.write(comments);
+	}
+
 	@Override
 	public void onEvents(byte[] events, Optional<String> lastId) {
 		if (this.firstEventMs == 0) {
--- a/node/src/test/java/org/tallycart/node/EndlessUpstreamTests.java
+++ b/node/src/test/java/org/tallycart/node/EndlessUpstreamTests.java
@@ -155,6 +155,31 @@
 		assertTrue(proxy("i-pool0").replyCount() > 0);
 	}
 
+	// Guards against stage work that is done twice, since a comment released the results
+	// of a stream that has had no event.
+	@Test
+	void commentsReleaseNoStageResults() {
+		String engine = sessionEngineId();
+		setKind(engine, Kind.COMMENTS_BEFORE_EVENTS);
+		String response = request(node(), "/stream/x", "r1", PIECES);
+		assertEquals(eventIds(response), "1 2 3 4 ", response);
+		assertTrue(proxy(engine).replyCount() > 0);
+		assertEquals(piecesMade(), 2);
+		await(() -> releasedResults() == 2);
+	}
+
+	private int piecesMade() {
+		return this.upstreams.values()
+			.stream()
+			.flatMap((upstream) -> upstream.batchSizes().stream())
+			.mapToInt(Integer::intValue)
+			.sum();
+	}
+
+	private int releasedResults() {
+		return this.upstreams.values().stream().mapToInt(UpstreamStandin::releasedCount).sum();
+	}
+
 	// Guards against crash detection that accuses requests of upstreams that are only
 	// faulty.
 	@Test
