Pipelined requests are handled in a loop rather than in recursion

Callers saw: a connection that closed after some hundred answers, if they sent thousands of requests at once without waiting.

Cause: the response to a request resumes the parser, which handles the next request within it. Each request deepened the stack, up to a StackOverflowError on the event loop.

Evidence: ConnectionTests.answersThousandsOfPipelinedRequests, 20,000 requests in one write on a real socket.

Why it works: MessageReader.resume has no effect within a call of its sink; the loop further down the stack goes on with the next message. How much is handled before other connections is bounded as before, by the bytes that are read.

--- a/http/src/main/java/org/tallycart/http/event/MessageReader.java
+++ b/http/src/main/java/org/tallycart/http/event/MessageReader.java
@@ -55,6 +55,8 @@
 
 	private long framingBytes;
 
+	private boolean parsing;
+
 	private boolean failed;
 
 	MessageReader(MessageLimits limits, Function<Http1Config, NHttpMessageParser<T>> parser, Sink<T> sink) {
@@ -86,9 +88,15 @@
 	}
 
 	/**
-	 * Parse buffered bytes, once the sink is ready for the next message.
+	 * Parse buffered bytes, once the sink is ready for the next message. Within a call of
+	 * the sink this has no effect: parsing goes on after it, so that the stack does not
+	 * grow with the number of messages.
 	 */
 	void resume() {
+		if (this.parsing) {
+			return;
+		}
+		this.parsing = true;
 		try {
 			while (!this.failed && this.sink.isReady() && step()) {
 				// Each step parses one head or one body part.
@@ -100,6 +108,9 @@
 		catch (IOException | HttpException ex) {
 			fail("malformed message: " + ex.getMessage());
 		}
+		finally {
+			this.parsing = false;
+		}
 		this.received.trim();
 	}
 
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -111,6 +111,19 @@
 		}
 	}
 
+	// Guards against a stack that overflows since each of many pipelined requests is
+	// handled within the response to the one before it.
+	@Test
+	void answersThousandsOfPipelinedRequests() throws Exception {
+		int count = 20_000;
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /a HTTP/1.1\r\n\r\n".repeat(count - 1) + "GET /last HTTP/1.1\r\n\r\n");
+			String responses = readUntil(socket, "/last ");
+			assertEquals(responses.split("HTTP/1.1 200", -1).length - 1, count);
+			assertEquals(this.handled.size(), count);
+		}
+	}
+
 	@DataProvider
 	static Object[][] badRequests() {
 		return new Object[][] { { "NONSENSE\r\n\r\n", "400" },
