Discarded messages are announced after the append that needed their memory

A request whose reply grew could be ended by an error in the handling of another one, whose reply was discarded.

Cause: HeldBytes ran the callback of the largest holder within the append of another one, whose buffer was incomplete meanwhile; an error went up to it.

Evidence: two tests in MessageLimitsTests. Before: the callback saw a buffer of 0 bytes in place of 512,000, and an IllegalStateException of the callback came out of the append of the other buffer. After: both pass.

Why it works: a discard frees the memory at once and is queued; the append runs the callbacks when its own bytes are in. Errors of others are reported to the handler of uncaught errors; the callback of the appending buffer itself comes last and throws as before. Nothing else runs between a discard and its callback.

--- a/http/src/main/java/org/tallycart/http/event/HeldBuffer.java
+++ b/http/src/main/java/org/tallycart/http/event/HeldBuffer.java
@@ -71,7 +71,9 @@
 			return;
 		}
 		if (count > this.maxBytes - this.length) {
-			discard(new LimitExceeded(this.limit, this.maxBytes, (long) this.length + count));
+			LimitExceeded exceeded = new LimitExceeded(this.limit, this.maxBytes, (long) this.length + count);
+			discard();
+			onDiscarded(exceeded);
 			return;
 		}
 		reserve(this.length + count);
@@ -79,6 +81,7 @@
 			System.arraycopy(source, from, this.bytes, this.length, count);
 			this.length += count;
 		}
+		this.account.notifyDiscarded(this);
 	}
 
 	// Counts new memory before it is allocated.
@@ -158,13 +161,15 @@
 	}
 
 	@Override
-	public void discard(LimitExceeded exceeded) {
-		if (!this.discarded) {
-			this.discarded = true;
-			release();
-			this.bytes = EMPTY;
-			this.onExceeded.accept(exceeded);
-		}
+	public void discard() {
+		this.discarded = true;
+		release();
+		this.bytes = EMPTY;
+	}
+
+	@Override
+	public void onDiscarded(LimitExceeded exceeded) {
+		this.onExceeded.accept(exceeded);
 	}
 
 }
--- a/http/src/main/java/org/tallycart/http/event/HeldBytes.java
+++ b/http/src/main/java/org/tallycart/http/event/HeldBytes.java
@@ -1,17 +1,21 @@
 package org.tallycart.http.event;
 
+import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 
+import org.tallycart.core.outcome.UncaughtErrorReporter;
+
 /**
  * Account of the memory that incomplete messages of all connections occupy.
  * <p>
  * Invariant: after each addition the total is at most the maximum; messages are discarded
  * for it, the largest first. Those that state their length, which ends them, are not
- * discarded while the others hold more than half of the maximum. Not thread-safe:
- * confined to an event loop.
+ * discarded while the others hold more than half of the maximum. Their holders are
+ * notified after the addition. Not thread-safe: confined to an event loop.
  *
  * @since 0.1
  */
@@ -21,6 +25,8 @@
 
 	private final Set<Holder> holders = new LinkedHashSet<>();
 
+	private final Deque<Discard> discards = new ArrayDeque<>();
+
 	private long total;
 
 	/**
@@ -39,7 +45,12 @@
 		return this.total;
 	}
 
-	// Discards messages, which may include that of the holder.
+	/**
+	 * Add memory of a holder. Messages are discarded for it, which may include that of
+	 * the holder; {@link #notifyDiscarded} has to be called once the holder is done.
+	 * @param holder the holder
+	 * @param bytes the additional memory, in bytes
+	 */
 	void add(Holder holder, long bytes) {
 		this.holders.add(holder);
 		this.total += bytes;
@@ -48,7 +59,38 @@
 			if (largest.isEmpty()) {
 				return;
 			}
-			largest.get().discard(new LimitExceeded(MessageLimit.HELD_BYTES, this.maxBytes, this.total));
+			LimitExceeded exceeded = new LimitExceeded(MessageLimit.HELD_BYTES, this.maxBytes, this.total);
+			largest.get().discard();
+			this.discards.add(new Discard(largest.get(), exceeded));
+		}
+	}
+
+	/**
+	 * Notify the holders whose messages were discarded. An error in one of them, other
+	 * than the given holder, is reported rather than thrown: it concerns another message.
+	 * @param holder the holder that has added memory
+	 */
+	void notifyDiscarded(Holder holder) {
+		Optional<LimitExceeded> own = Optional.empty();
+		Discard next = this.discards.poll();
+		while (next != null) {
+			if (next.holder() == holder) {
+				own = Optional.of(next.exceeded());
+			}
+			else {
+				notifyOther(next);
+			}
+			next = this.discards.poll();
+		}
+		own.ifPresent(holder::onDiscarded);
+	}
+
+	private static void notifyOther(Discard discard) {
+		try {
+			discard.holder().onDiscarded(discard.exceeded());
+		}
+		catch (Exception | Error ex) {
+			UncaughtErrorReporter.report(ex);
 		}
 	}
 
@@ -83,10 +125,24 @@
 
 		/**
 		 * Discard the message, and remove it from the account.
+		 */
+		void discard();
+
+		/**
+		 * Handle that the message was discarded, outside of any work on other messages.
 		 * @param exceeded the reason
 		 */
-		void discard(LimitExceeded exceeded);
+		void onDiscarded(LimitExceeded exceeded);
+
+	}
 
+	/**
+	 * A message that was discarded, of which its holder was not notified.
+	 *
+	 * @param holder the holder
+	 * @param exceeded the reason
+	 */
+	private record Discard(Holder holder, LimitExceeded exceeded) {
 	}
 
 }
--- a/http/src/test/java/org/tallycart/http/event/MessageLimitsTests.java
+++ b/http/src/test/java/org/tallycart/http/event/MessageLimitsTests.java
@@ -151,6 +151,49 @@
 		assertEquals(held.total(), 0);
 	}
 
+	// Guards against work for one request within that for another one, whose buffer is
+	// incomplete meanwhile.
+	@Test
+	void othersLearnThatTheyWereDiscardedAfterTheAppend() {
+		HeldBytes held = new HeldBytes(1 << 20);
+		List<Integer> lengths = new ArrayList<>();
+		HeldBuffer appending = buffer(held, "appending", new ArrayList<>());
+		HeldBuffer large = new HeldBuffer(MessageLimit.REPLY_BYTES, 1 << 20, held,
+				(exceeded) -> lengths.add(appending.length()));
+		append(large, 600 << 10);
+		append(appending, 500 << 10);
+		assertEquals(lengths, List.of(500 << 10));
+		assertEquals(appending.take().length, 500 << 10);
+		assertEquals(held.total(), 0);
+	}
+
+	// Guards against a request that is ended by an error in the handling of another one.
+	@Test
+	void anErrorWhileAnotherIsDiscardedDoesNotEndTheAppend() {
+		HeldBytes held = new HeldBytes(1 << 20);
+		List<String> discarded = new ArrayList<>();
+		HeldBuffer failing = new HeldBuffer(MessageLimit.REPLY_BYTES, 1 << 20, held, (exceeded) -> {
+			throw new IllegalStateException("the callback fails");
+		});
+		HeldBuffer large = buffer(held, "large", discarded);
+		HeldBuffer appending = buffer(held, "appending", discarded);
+		append(failing, 400 << 10);
+		append(large, 390 << 10);
+		List<Throwable> errors = new ArrayList<>();
+		Thread.UncaughtExceptionHandler handler = Thread.currentThread().getUncaughtExceptionHandler();
+		Thread.currentThread().setUncaughtExceptionHandler((thread, error) -> errors.add(error));
+		try {
+			append(appending, 300 << 10);
+			append(appending, 650 << 10);
+		}
+		finally {
+			Thread.currentThread().setUncaughtExceptionHandler(handler);
+		}
+		assertEquals(errors.size(), 1);
+		assertEquals(discarded, List.of("appending HELD_BYTES"));
+		assertEquals(held.total(), 390 << 10);
+	}
+
 	private static HeldBuffer buffer(HeldBytes held, String name, List<String> discarded) {
 		return new HeldBuffer(MessageLimit.REPLY_BYTES, 1 << 20, held,
 				(exceeded) -> discarded.add(name + " " + exceeded.limit()));
