A connection that was discarded already is not released to the pool

Callers saw: nothing that was reported. A call that was cancelled within the last part of its reply put its closed connection among the idle ones; with as many of them as are kept, a sound one was closed for it.

Cause: UpstreamConnection.onEnd released or closed the connection although the call had ended, and with it the connection.

Before: the oldest sound connection was closed. After: it stays.

Why it works: a call that has ended before the end of its reply has always closed its connection, so onEnd has nothing left to do then.

ConnectionPool.MAX_IDLE is visible in its package for the test.

--- a/http/src/main/java/org/tallycart/http/event/ConnectionPool.java
+++ b/http/src/main/java/org/tallycart/http/event/ConnectionPool.java
@@ -26,7 +26,7 @@
 	private static final long SECOND_MS = 1_000;
 
 	/** Maximum number of idle connections; above it the oldest is closed. */
-	private static final int MAX_IDLE = 64;
+	static final int MAX_IDLE = 64;
 
 	private final LongSupplier nowMs;
 
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -222,15 +222,17 @@
 			return;
 		}
 		ReplyListener currentListener = endCall();
+		// The call was cancelled within the last part, which closed the connection.
+		if (currentListener == null) {
+			return;
+		}
 		if (this.keepAlive && this.reader.unparsedBytes() == 0) {
 			this.pool.release(this);
 		}
 		else {
 			requireContext().close();
 		}
-		if (currentListener != null) {
-			currentListener.onEnd(this.closeDelimited ? ReplyEnd.INPUT_CLOSED : ReplyEnd.FRAMED);
-		}
+		currentListener.onEnd(this.closeDelimited ? ReplyEnd.INPUT_CLOSED : ReplyEnd.FRAMED);
 	}
 
 	@Override
--- a/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -17,6 +18,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Tests for {@link UpstreamConnection} without sockets.
@@ -91,6 +93,41 @@
 		assertFalse(this.channel.isOpen());
 	}
 
+	// Guards against a sound idle connection that is closed to make room for one that was
+	// closed already.
+	@Test
+	void aConnectionThatIsDiscardedWithinItsLastPartIsNotReleased() {
+		ConnectionPool pool = new ConnectionPool(() -> 0);
+		List<EmbeddedChannel> idle = new ArrayList<>();
+		for (int i = 0; i < ConnectionPool.MAX_IDLE; i++) {
+			EmbeddedChannel each = connect(pool, new OutcomeListener(this.outcomes));
+			each.writeInbound(reply());
+			idle.add(each);
+		}
+		assertTrue(idle.get(0).isOpen());
+		OutcomeListener cancelling = new OutcomeListener(this.outcomes);
+		EmbeddedChannel discarded = connect(pool, cancelling);
+		cancelling.onPart = () -> discarded.pipeline().get(UpstreamConnection.class).discard();
+		discarded.writeInbound(reply());
+		assertFalse(discarded.isOpen());
+		assertTrue(idle.get(0).isOpen());
+		assertEquals(this.outcomes.size(), idle.size());
+	}
+
+	private static EmbeddedChannel connect(ConnectionPool pool, OutcomeListener listener) {
+		UpstreamConnection connection = new UpstreamConnection(pool, MessageLimits.builder().build(),
+				ConnectionObserver.NONE);
+		EmbeddedChannel channel = new EmbeddedChannel(connection);
+		connection.start(
+				ClientRequest.builder("p", new Address("127.0.0.1", 1), new BasicHttpRequest("GET", "/x")).build(),
+				listener);
+		return channel;
+	}
+
+	private static ByteBuf reply() {
+		return Unpooled.copiedBuffer(OK + "Content-Length: 3\r\n\r\nall", StandardCharsets.ISO_8859_1);
+	}
+
 	/** Records outcomes as text; skips replies with the field {@code Foreign}. */
 	private static final class OutcomeListener implements ReplyListener {
 
@@ -98,6 +135,9 @@
 
 		private final StringBuilder body = new StringBuilder();
 
+		private Runnable onPart = () -> {
+		};
+
 		private OutcomeListener(List<String> outcomes) {
 			this.outcomes = outcomes;
 		}
@@ -110,6 +150,7 @@
 		@Override
 		public void onBody(byte[] part) {
 			this.body.append(new String(part, StandardCharsets.ISO_8859_1));
+			this.onPart.run();
 		}
 
 		@Override
