Limits of the parser are built when the settings change, not per request

Callers saw: nothing. CallerConnection.beginHead built a MessageLimits for each request; it is built when the limits differ from those of the request before.

No test was failing: what callers get is the same. That limits which change on a kept connection count from the next head on is tested by ConnectionTests. The saving was not measured.

--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -302,8 +302,11 @@
 	}
 
 	private void beginHead() {
-		this.limits = this.handler.limits();
-		this.reader.setLimits(messageLimits());
+		RequestLimits current = this.handler.limits();
+		if (!current.equals(this.limits)) {
+			this.limits = current;
+			this.reader.setLimits(messageLimits());
+		}
 		schedule(this.limits.headTimeoutMs(), () -> refuse(REQUEST_TIMEOUT, "head timed out"));
 	}
 
