A caller's body has a time limit in all

Callers saw: nothing. A body that came byte by byte held its connection, and what was received of it, without an end.

Cause: the timer of the head ended with it; there was none until the response.

Evidence: SlowBodyTests, in virtual time. Before: 2 of 3 failed (both framings: no refusal). After: 3 of 3.

Why it works: BODY_TIMEOUT_MS (60 s) runs from the head to the end of the body; then the request is refused with 408, logged as CONNECTION_REFUSED (TC6023), and the connection closed as after other refusals. 60 s is a choice, not measured: a body of 4 MB needs 70 KB a second. The handling of a request is not limited by it.

Run: all classes of module http: 98 of 98.

--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -51,6 +51,12 @@
 	 */
 	private static final long LINGER_MS = 1_000;
 
+	/**
+	 * Time for a body in all, from its head, in milliseconds. A body of 4 MB is complete
+	 * in it at 70 KB a second.
+	 */
+	static final long BODY_TIMEOUT_MS = 60_000;
+
 	/** Value of SO_LINGER with which any close resets the connection. */
 	private static final int RESET_ON_CLOSE = 0;
 
@@ -175,6 +181,9 @@
 			refuse(CONTENT_TOO_LARGE, "body too large");
 			return framing;
 		}
+		if (framing.get().kind() == BodyFraming.Kind.CHUNKED || framing.get().length() > 0) {
+			schedule(BODY_TIMEOUT_MS, () -> refuse(REQUEST_TIMEOUT, "body timed out"));
+		}
 		if (request.containsHeader("Expect")) {
 			requireContext().writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.CONTINUE));
 		}
@@ -198,6 +207,7 @@
 		if (this.refused || request == null) {
 			return;
 		}
+		cancelTimer();
 		this.head = null;
 		byte[] bytes = new byte[this.body.readableBytes()];
 		this.body.readBytes(bytes);
