A relay stops reading upstreams while too much is queued for a VM

Callers saw: nothing that was reported. A VM that reads slowly let the relay queue all that the upstreams of its calls sent, until it was silent for 1.5 s.

Cause: RelayService wrote each part to the connection of the VM, whatever was queued on it; only the VM itself paused calls.

Evidence: RelayQueueTests, with a VM that reads when the test says so. Before: 2 of 3 failed (16 MB were queued without a pause). After: 3 of 3.

Why it works: above MAX_QUEUED_BYTES (4 MB) none of the VM's calls is read, RELAY_QUEUE_FULL (TC6049) is logged, and reading goes on once half of it has drained, at the next tick, unless the VM has paused the call itself. What was read already is still queued, up to 64 KB a call. 4 MB is a choice, not measured.

RelayService takes an HttpCaller and a NodeLog, for the test and the event.

Run: RelayQueueTests, RelayMessageCodecTests, ResumedStreamTests, EventCatalogueTests: 19 of 19. NodeEndToEndTests since: three runs of 32 of 32. The integration tests with lost links were not run.

--- a/node/src/main/java/org/tallycart/node/link/RelayService.java
+++ b/node/src/main/java/org/tallycart/node/link/RelayService.java
@@ -11,13 +11,15 @@
 import org.tallycart.http.event.Call;
 import org.tallycart.http.event.CallFailure;
 import org.tallycart.http.event.ClientRequest;
-import org.tallycart.http.event.HttpClient;
+import org.tallycart.http.event.HttpCaller;
 import org.tallycart.http.event.ReplyEnd;
 import org.tallycart.http.event.ReplyListener;
 import org.tallycart.node.EventLoop;
+import org.tallycart.node.log.NodeLog;
 import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.peer.PeerMesh;
 import org.tallycart.platform.http.UpstreamCodec;
+import org.tallycart.runtime.event.EventCode;
 import org.tallycart.wire.message.Envelope;
 import org.tallycart.wire.message.RelayCall;
 import org.tallycart.wire.message.RelayControl;
@@ -30,7 +32,8 @@
  * call stay with the VM that it is made for.
  * <p>
  * Invariants: a call is made once at most; it is cancelled when its VM cancels it,
- * restarts or falls silent. Not thread-safe: confined to the event loop.
+ * restarts or falls silent. Upstreams are not read while too much is queued for the VM.
+ * Not thread-safe: confined to the event loop.
  */
 final class RelayService {
 
@@ -42,12 +45,19 @@
 	/** Maximum number of calls in progress for other VMs. */
 	private static final int MAX_CALLS = 512;
 
+	/**
+	 * Size of what is queued for a VM, above which its upstreams are not read, in bytes.
+	 */
+	static final long MAX_QUEUED_BYTES = 4 << 20;
+
 	private static final CallFailure DECLINED = new CallFailure(CallFailure.Kind.NOT_CONNECTED, false,
 			"the relay makes no calls");
 
 	private final EventLoop loop;
 
-	private final HttpClient http;
+	private final NodeLog log;
+
+	private final HttpCaller http;
 
 	private final NodeMetrics metrics;
 
@@ -57,8 +67,9 @@
 
 	private int callsInProgress;
 
-	RelayService(EventLoop loop, HttpClient http, NodeMetrics metrics, BooleanSupplier accepting) {
+	RelayService(EventLoop loop, NodeLog log, HttpCaller http, NodeMetrics metrics, BooleanSupplier accepting) {
 		this.loop = loop;
+		this.log = log;
 		this.http = http;
 		this.metrics = metrics;
 		this.accepting = accepting;
@@ -114,8 +125,8 @@
 		}
 		switch (control.getAction()) {
 			case CANCEL -> cancel(listener);
-			case PAUSE -> listener.call.setPaused(true);
-			case RESUME -> listener.call.setPaused(false);
+			case PAUSE -> listener.pause(true);
+			case RESUME -> listener.pause(false);
 			default -> {
 				// Ignores actions of newer versions.
 			}
@@ -140,7 +151,31 @@
 		return this.callsInProgress;
 	}
 
-	void cancelSilent() {
+	/** Must be called several times a second. */
+	void tick() {
+		cancelSilent();
+		this.origins.values().forEach(this::resumeIfDrained);
+	}
+
+	private void resumeIfDrained(Origin origin) {
+		if (origin.congested && origin.queuedBytes() <= MAX_QUEUED_BYTES / 2) {
+			origin.congested = false;
+			origin.calls.values().forEach(RelayedReply::updatePaused);
+		}
+	}
+
+	private void pauseIfCongested(Origin origin) {
+		long queuedBytes = origin.queuedBytes();
+		if (origin.congested || queuedBytes <= MAX_QUEUED_BYTES) {
+			return;
+		}
+		origin.congested = true;
+		this.log.event(EventCode.RELAY_QUEUE_FULL, "vm", origin.vm, "queued_bytes", queuedBytes, "calls",
+				origin.calls.size());
+		origin.calls.values().forEach(RelayedReply::updatePaused);
+	}
+
+	private void cancelSilent() {
 		long silentSinceMs = this.loop.nowMs() - SILENCE_MS;
 		for (Origin origin : new ArrayList<>(this.origins.values())) {
 			if (origin.heardMs < silentSinceMs) {
@@ -162,12 +197,19 @@
 
 		private long heardMs;
 
+		/** Whether its upstreams are not read, since too much is queued for it. */
+		private boolean congested;
+
 		Origin(String vm, long incarnation, PeerMesh mesh) {
 			this.vm = vm;
 			this.incarnation = incarnation;
 			this.mesh = mesh;
 		}
 
+		private long queuedBytes() {
+			return this.mesh.queuedReplyBytes(this.vm);
+		}
+
 		private void reply(long number, RelayReply.Builder reply) {
 			this.mesh.reply(this.vm, Envelope.newBuilder().setRelayReply(reply.setNumber(number)));
 		}
@@ -185,6 +227,8 @@
 
 		private @Nullable Call call;
 
+		private boolean pausedByVm;
+
 		RelayedReply(Origin origin, long number, ClientRequest request) {
 			this.origin = origin;
 			this.number = number;
@@ -197,6 +241,17 @@
 			}
 		}
 
+		private void pause(boolean paused) {
+			this.pausedByVm = paused;
+			updatePaused();
+		}
+
+		private void updatePaused() {
+			if (this.call != null) {
+				this.call.setPaused(this.pausedByVm || this.origin.congested);
+			}
+		}
+
 		private void reply(RelayReply.Builder reply) {
 			this.origin.reply(this.number, reply);
 		}
@@ -207,12 +262,16 @@
 				return false;
 			}
 			reply(RelayReply.newBuilder().setHead(RelayMessageCodec.encode(head)));
+			if (this.origin.congested) {
+				updatePaused();
+			}
 			return true;
 		}
 
 		@Override
 		public void onBody(byte[] part) {
 			reply(RelayReply.newBuilder().setBody(ByteString.copyFrom(part)));
+			pauseIfCongested(this.origin);
 		}
 
 		@Override
--- a/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
+++ b/node/src/main/java/org/tallycart/node/link/UpstreamLinks.java
@@ -81,7 +81,7 @@
 		this.metrics = metrics;
 		this.directory = directory;
 		this.http = HttpClient.create(group, loop::nowMs, limits, new Observer(), proxyHost);
-		this.relayService = new RelayService(loop, this.http, metrics, this::relays);
+		this.relayService = new RelayService(loop, log, this.http, metrics, this::relays);
 	}
 
 	/**
@@ -145,7 +145,7 @@
 	}
 
 	private void update() {
-		this.relayService.cancelSilent();
+		this.relayService.tick();
 		for (Address address : this.monitor.update(this.directory.connectableEntries(), this.loop.nowMs())) {
 			this.http.probe(address, PROBE_TIMEOUT_MS, (result) -> {
 				// The observer records the result.
--- a/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
+++ b/node/src/main/java/org/tallycart/node/peer/PeerMesh.java
@@ -304,6 +304,15 @@
 		Optional.ofNullable(this.inboundPeers.get(vm)).filter(WirePeer::isOpen).ifPresent((peer) -> peer.send(message));
 	}
 
+	/**
+	 * Return how much is queued on the connection that a VM opened to this one.
+	 * @param vm the name of the VM
+	 * @return the size in bytes; 0 if there is no connection
+	 */
+	public long queuedReplyBytes(String vm) {
+		return Optional.ofNullable(this.inboundPeers.get(vm)).map(WirePeer::queuedBytes).orElse(0L);
+	}
+
 	/**
 	 * Return the number of VMs that have a record, whether they are live or not.
 	 * @return the count; 0 until records are loaded
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -213,6 +213,9 @@
 	/** A reply of an upstream exceeded a limit. */
 	REPLY_EXCEEDS_LIMIT(6048, Level.WARN,
 			"A reply exceeded a limit and its connection was closed; the detail holds the upstream, the limit, how much was received, and the maximum."),
+	/** What is queued for another VM has reached a limit. */
+	RELAY_QUEUE_FULL(6049, Level.WARN,
+			"Replies that are passed on to another VM are queued up to a limit, since it reads slowly; their upstreams are not read meanwhile. The detail holds the VM, the queued bytes and the calls."),
 
 	/** A stand-in ran a call. */
 	STANDIN_RAN(5001, Level.DEBUG, "A stand-in ran a call."),
--- a/wire/src/main/java/org/tallycart/wire/WirePeer.java
+++ b/wire/src/main/java/org/tallycart/wire/WirePeer.java
@@ -24,6 +24,13 @@
 	 */
 	void send(Envelope.Builder message);
 
+	/**
+	 * Return how much is queued for the remote process, since it reads more slowly than
+	 * messages are sent.
+	 * @return the size in bytes; 0 if the connection is closed
+	 */
+	long queuedBytes();
+
 	/**
 	 * Return whether the connection is open.
 	 * @return {@code true} if the connection is open
--- a/wire/src/main/java/org/tallycart/wire/WireServer.java
+++ b/wire/src/main/java/org/tallycart/wire/WireServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
@@ -112,6 +113,12 @@
 			this.channel.writeAndFlush(this.identity.stamp(message));
 		}
 
+		@Override
+		public long queuedBytes() {
+			ChannelOutboundBuffer queue = this.channel.unsafe().outboundBuffer();
+			return (queue != null) ? queue.totalPendingWriteBytes() : 0;
+		}
+
 		@Override
 		public boolean isOpen() {
 			return this.channel.isActive();
