No request is handled after the last one of a connection

Callers saw nothing of it: a request that came in one write behind one with 'Connection: close' ran, maybe at an upstream, and its answer was never sent. Found by a review of the loop over pipelined requests; older than the loop. Cause: a connection that is to close was ready for the next message between the answer and the close. Test: ConnectionTests.handlesNoRequestThatFollowsTheLastOne; 2 requests were handled where 1 is expected, 1 now. Fix: a connection that closes is not ready for a message.

--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -165,7 +165,7 @@
 
 	@Override
 	public boolean isReady() {
-		return this.responder == null && !this.refused;
+		return this.responder == null && !this.refused && !this.closing;
 	}
 
 	@Override
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -89,7 +89,7 @@
 	private static String readUntil(Socket socket, String end) throws IOException {
 		StringBuilder text = new StringBuilder();
 		InputStream input = socket.getInputStream();
-		while (text.indexOf(end) < 0) {
+		while (text.indexOf(end, Math.max(text.length() - end.length(), 0)) < 0) {
 			int next = input.read();
 			if (next < 0) {
 				break;
@@ -124,6 +124,19 @@
 		}
 	}
 
+	// Guards against requests that run although the connection is closed without an
+	// answer
+	// to them.
+	@Test
+	void handlesNoRequestThatFollowsTheLastOne() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /last HTTP/1.1\r\nConnection: close\r\n\r\nGET /more HTTP/1.1\r\n\r\n");
+			String responses = readUntil(socket, "no such end");
+			assertEquals(responses.split("HTTP/1.1 200", -1).length - 1, 1, responses);
+			assertEquals(this.handled.size(), 1);
+		}
+	}
+
 	@DataProvider
 	static Object[][] badRequests() {
 		return new Object[][] { { "NONSENSE\r\n\r\n", "400" },
