A relay makes no more calls for a VM while too much is queued for it

What could happen: a VM that reads slowly and makes many calls with short replies, each of which arrives in one read, filled the relay's memory although its calls were paused. Found by a review of the bound on the queue. Test: RelayQueueTests.aVmGetsNoMoreCallsWhileTooMuchIsQueued; failed before (2 calls made where 1 is expected). Fix: its calls are declined as not made, and its offers are told so, until half of the queue is sent. RelayQueueTests 4 of 4. Open: while all calls of a relay are paused for a second, it suspects its own links and makes no calls for others until a probe connects (read, not run).

--- a/node/src/main/java/org/tallycart/node/link/RelayService.java
+++ b/node/src/main/java/org/tallycart/node/link/RelayService.java
@@ -32,8 +32,8 @@
  * call stay with the VM that it is made for.
  * <p>
  * Invariants: a call is made once at most; it is cancelled when its VM cancels it,
- * restarts or falls silent. Upstreams are not read while too much is queued for the VM.
- * Not thread-safe: confined to the event loop.
+ * restarts or falls silent. Upstreams are not read, nor more calls made, while too much
+ * is queued for the VM. Not thread-safe: confined to the event loop.
  */
 final class RelayService {
 
@@ -46,7 +46,8 @@
 	private static final int MAX_CALLS = 512;
 
 	/**
-	 * Size of what is queued for a VM, above which its upstreams are not read, in bytes.
+	 * Size of what is queued for a VM, above which its upstreams are not read and it gets
+	 * no more calls, in bytes.
 	 */
 	static final long MAX_QUEUED_BYTES = 4 << 20;
 
@@ -76,17 +77,16 @@
 	}
 
 	void onOffer(String vm, Envelope message, PeerMesh mesh) {
-		origin(vm, message, mesh);
-		sendOffer(vm, mesh);
+		sendOffer(origin(vm, message, mesh));
 	}
 
-	private void sendOffer(String vm, PeerMesh mesh) {
-		RelayOffer offer = RelayOffer.newBuilder().setAnswer(true).setAccepts(accepts()).build();
-		mesh.reply(vm, Envelope.newBuilder().setRelayOffer(offer));
+	private void sendOffer(Origin origin) {
+		RelayOffer offer = RelayOffer.newBuilder().setAnswer(true).setAccepts(accepts(origin)).build();
+		origin.mesh.reply(origin.vm, Envelope.newBuilder().setRelayOffer(offer));
 	}
 
-	private boolean accepts() {
-		return this.accepting.getAsBoolean() && this.callsInProgress < MAX_CALLS;
+	private boolean accepts(Origin origin) {
+		return this.accepting.getAsBoolean() && this.callsInProgress < MAX_CALLS && !origin.congested;
 	}
 
 	private Origin origin(String vm, Envelope message, PeerMesh mesh) {
@@ -104,9 +104,9 @@
 	void onCall(String vm, Envelope message, PeerMesh mesh) {
 		Origin origin = origin(vm, message, mesh);
 		RelayCall call = message.getRelayCall();
-		if (!accepts()) {
+		if (!accepts(origin)) {
 			origin.reply(call.getNumber(), RelayReply.newBuilder().setFailure(RelayMessageCodec.encode(DECLINED)));
-			sendOffer(vm, mesh);
+			sendOffer(origin);
 			return;
 		}
 		this.metrics.onRelayedCall("made");
@@ -197,7 +197,10 @@
 
 		private long heardMs;
 
-		/** Whether its upstreams are not read, since too much is queued for it. */
+		/**
+		 * Whether its upstreams are not read and it gets no more calls, since too much is
+		 * queued for it.
+		 */
 		private boolean congested;
 
 		Origin(String vm, long incarnation, PeerMesh mesh) {
--- a/node/src/test/java/org/tallycart/node/link/RelayQueueTests.java
+++ b/node/src/test/java/org/tallycart/node/link/RelayQueueTests.java
@@ -87,15 +87,15 @@
 		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
 	}
 
-	private RelayedCall call(long number) {
+	private static Envelope message(long number) {
 		ClientRequest request = ClientRequest
 			.builder("i-0", new Address("127.0.0.1", 1), new BasicHttpRequest("GET", "/x"))
 			.build();
-		Envelope message = Envelope.newBuilder()
-			.setSenderVm(VM)
-			.setRelayCall(RelayMessageCodec.encode(number, request))
-			.build();
-		this.service.orElseThrow().onCall(VM, message, this.mesh.orElseThrow());
+		return Envelope.newBuilder().setSenderVm(VM).setRelayCall(RelayMessageCodec.encode(number, request)).build();
+	}
+
+	private RelayedCall call(long number) {
+		this.service.orElseThrow().onCall(VM, message(number), this.mesh.orElseThrow());
 		RelayedCall call = this.calls.get(this.calls.size() - 1);
 		call.listener.onHead(new BasicHttpResponse(200));
 		return call;
@@ -152,6 +152,19 @@
 		assertTrue(call.paused);
 	}
 
+	// Guards against a queue that grows by short replies, each of which arrives at once.
+	@Test
+	void aVmGetsNoMoreCallsWhileTooMuchIsQueued() {
+		receiveUntilPaused(call(1));
+		int before = this.calls.size();
+		this.service.orElseThrow().onCall(VM, message(2), this.mesh.orElseThrow());
+		assertEquals(this.calls.size(), before);
+		this.peer.queued = 0;
+		this.service.orElseThrow().tick();
+		call(3);
+		assertEquals(this.calls.size(), before + 1);
+	}
+
 	/** A VM that reads only when a test says so. */
 	private static final class SlowPeer implements WirePeer {
 
