A caller whose refusal fails is disconnected while its stream is resumed

What could happen: an error while the refusal of a resumed stream was written left the caller without an answer and without a deadline. Found by a review. Test: ResumedStreamTests.aCallerWhoseRefusalFailsIsDisconnected; failed before (nothing in place of an abort). aStreamWhoseOriginIsKnownGoesOn could not fail for what its name says, as a refusal looked the same; it asserts now that a flow is started, the one for an unknown version that none is.

--- a/node/src/main/java/org/tallycart/node/request/ResumedRequest.java
+++ b/node/src/main/java/org/tallycart/node/request/ResumedRequest.java
@@ -85,8 +85,14 @@
 		decline(RetryAfterPolicy.BUSY_MS, "deadline exceeded while the origin of the stream was looked up");
 	}
 
+	// A refusal that has failed leaves nothing to tell the caller.
 	private void onHandlingFailed() {
-		decline(RetryAfterPolicy.UNREACHABLE_MS, "the handling of the request failed unexpectedly");
+		if (this.ended) {
+			this.responder.abort();
+		}
+		else {
+			decline(RetryAfterPolicy.UNREACHABLE_MS, "the handling of the request failed unexpectedly");
+		}
 	}
 
 	private void onCallerGone() {
--- a/node/src/test/java/org/tallycart/node/request/ResumedStreamTests.java
+++ b/node/src/test/java/org/tallycart/node/request/ResumedStreamTests.java
@@ -133,17 +133,29 @@
 		assertTrue(this.vm.errors().get(0).contains("the responder fails"), this.vm.errors().toString());
 	}
 
+	// Guards against a caller that hears nothing, since its refusal could not be written.
+	@Test
+	void aCallerWhoseRefusalFailsIsDisconnected() {
+		resume();
+		this.responder.sendFailing = true;
+		answerLookup(Optional.empty());
+		assertEquals(this.responder.statuses, List.of(RecordingResponder.ABORTED));
+		assertEquals(this.vm.errors().size(), 1, this.vm.errors().toString());
+	}
+
 	@Test
 	void aStreamOfAnUnknownVersionIsRefused() {
 		resume();
 		answerLookup(Optional.empty());
 		assertNotRun();
+		assertEquals(this.responder.handlers, 1, "no flow is started");
 	}
 
 	@Test
 	void aStreamWhoseOriginIsKnownGoesOn() {
 		resume();
 		answerLookup(ORIGIN);
+		assertEquals(this.responder.handlers, 2, "the flow is started");
 		// There is no upstream at all.
 		assertNotRun();
 		this.vm.run(2 * DEADLINE_MS);
@@ -182,19 +194,28 @@
 	/** Records the statuses that the caller gets. */
 	private static final class RecordingResponder implements Responder {
 
+		private static final int ABORTED = 0;
+
 		private final List<Integer> statuses = new ArrayList<>();
 
+		/** Number of objects that have handled the request. */
+		private int handlers;
+
 		private boolean retryAfter;
 
 		private boolean failing;
 
+		private boolean sendFailing;
+
 		private Runnable disconnectAction = () -> {
 		};
 
 		private void clear() {
 			this.statuses.clear();
+			this.handlers = 0;
 			this.retryAfter = false;
 			this.failing = false;
+			this.sendFailing = false;
 		}
 
 		private void disconnect() {
@@ -203,6 +224,9 @@
 
 		@Override
 		public void send(HttpResponse head, byte[] body) {
+			if (this.sendFailing) {
+				throw new IllegalStateException("the responder fails");
+			}
 			this.statuses.add(head.getCode());
 			this.retryAfter = head.containsHeader("Retry-After");
 		}
@@ -229,7 +253,7 @@
 
 		@Override
 		public void abort() {
-			this.statuses.add(0);
+			this.statuses.add(ABORTED);
 		}
 
 		@Override
@@ -237,6 +261,7 @@
 			if (this.failing) {
 				throw new IllegalStateException("the responder fails");
 			}
+			this.handlers++;
 			this.disconnectAction = action;
 		}
 
