--- a/node/src/test/java/org/tallycart/node/NodeEndToEndTests.java
+++ b/node/src/test/java/org/tallycart/node/NodeEndToEndTests.java
@@ -91,7 +91,7 @@
 		assertEquals(engines, 1);
 	}
 
-	@Test(groups = "known-red")
+	@Test
 	void aBrokenStreamIsResumedWithinOneResponse() {
 		sessionEngine(this.nodes.get(0)).setFault(UpstreamStandin.Fault.BREAK);
 		String response = request(this.nodes.get(0), "/stream/x", "r1", GENERATION);
