Known red: a VM with a late event loop closes its first connection unread

ConnectionAdmissionTests.aLateLoopAdmitsTheFirstConnection, new, fails each time and is in the group known-red: the creation of ConnectionAdmission counts as an admission, so for 500 ms after the start of a VM a late loop admits nobody.

--- a/core/src/test/java/org/tallycart/core/overload/ConnectionAdmissionTests.java
+++ b/core/src/test/java/org/tallycart/core/overload/ConnectionAdmissionTests.java
@@ -81,6 +81,17 @@
 		}
 	}
 
+	// Guards against a VM that closes its first connection unread, since its event loop
+	// is
+	// late while it starts.
+	@Test(groups = "known-red")
+	void aLateLoopAdmitsTheFirstConnection() {
+		ConnectionAdmission admission = admission();
+		admission.onCheck(200);
+		assertEquals(admission.sustainedDelayMs(360), 110);
+		assertTrue(admission.tryAdmit(0, 360));
+	}
+
 	// Guards against a VM that says that it is ready and takes no connection.
 	@Test
 	void aLateLoopAdmitsAConnectionAfterAWhile() {
