--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -89,7 +89,7 @@
 	private static String readUntil(Socket socket, String end) throws IOException {
 		StringBuilder text = new StringBuilder();
 		InputStream input = socket.getInputStream();
-		while (text.indexOf(end) < 0) {
+		while (text.indexOf(end, Math.max(text.length() - end.length(), 0)) < 0) {
 			int next = input.read();
 			if (next < 0) {
 				break;
@@ -111,6 +111,32 @@
 		}
 	}
 
+	// Guards against a stack that overflows since each of many pipelined requests is
+	// handled within the response to the one before it.
+	@Test
+	void answersThousandsOfPipelinedRequests() throws Exception {
+		int count = 20_000;
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /a HTTP/1.1\r\n\r\n".repeat(count - 1) + "GET /last HTTP/1.1\r\n\r\n");
+			String responses = readUntil(socket, "/last ");
+			assertEquals(responses.split("HTTP/1.1 200", -1).length - 1, count);
+			assertEquals(this.handled.size(), count);
+		}
+	}
+
+	// Guards against requests that run although the connection is closed without an
+	// answer
+	// to them.
+	@Test
+	void handlesNoRequestThatFollowsTheLastOne() throws Exception {
+		try (Socket socket = connect(server().port())) {
+			write(socket, "GET /last HTTP/1.1\r\nConnection: close\r\n\r\nGET /more HTTP/1.1\r\n\r\n");
+			String responses = readUntil(socket, "no such end");
+			assertEquals(responses.split("HTTP/1.1 200", -1).length - 1, 1, responses);
+			assertEquals(this.handled.size(), 1);
+		}
+	}
+
 	@DataProvider
 	static Object[][] badRequests() {
 		return new Object[][] { { "NONSENSE\r\n\r\n", "400" },
