Both crash detectors keep who is cleared in one class

Found when the change was read again: the detector of requests had got the rule that the detector of parts has (served shortly before a crash, kept for two periods), as a copy. ClearedSuspects serves both; behaviour is as before.

--- a/core/src/main/java/org/tallycart/core/crash/CrashingPartDetector.java
+++ b/core/src/main/java/org/tallycart/core/crash/CrashingPartDetector.java
@@ -81,12 +81,6 @@
 	/** Retention time of a crash, in milliseconds. */
 	private static final long RETENTION_MS = 600_000;
 
-	/**
-	 * Retention time of when a part was served, in milliseconds; covers the delay of
-	 * reports.
-	 */
-	private static final long SERVED_RETENTION_MS = 2 * CLEARED_MS;
-
 	/** Maximum number of retained crashes; the oldest are removed first. */
 	private static final int MAX_CRASHES = 200;
 
@@ -102,7 +96,7 @@
 
 	private final Map<Fingerprint, List<Crash>> crashesByPart = new HashMap<>();
 
-	private final Map<Fingerprint, Long> servedMs = new HashMap<>();
+	private final ClearedSuspects cleared = new ClearedSuspects(CLEARED_MS);
 
 	private final Map<Fingerprint, Long> confirmed = new HashMap<>();
 
@@ -186,7 +180,7 @@
 	private void addParts(Crash crash, Suspect suspect) {
 		for (int depth = 0; depth < suspect.parts().size(); depth++) {
 			Fingerprint part = suspect.parts().get(depth);
-			if (!isCleared(part, crash) && !crash.readParts.contains(part)) {
+			if (!this.cleared.contains(part, crash.crashedMs) && !crash.readParts.contains(part)) {
 				if (!crash.uses.containsKey(part)) {
 					this.crashesByPart.computeIfAbsent(part, (key) -> new ArrayList<>()).add(crash);
 				}
@@ -195,13 +189,8 @@
 		}
 	}
 
-	private boolean isCleared(Fingerprint part, Crash crash) {
-		Long lastServedMs = this.servedMs.get(part);
-		return lastServedMs != null && crash.crashedMs <= lastServedMs + CLEARED_MS;
-	}
-
 	private void expire(long nowMs) {
-		this.servedMs.values().removeIf((at) -> nowMs - at > SERVED_RETENTION_MS);
+		this.cleared.expire(nowMs);
 		this.confirmed.values().removeIf((at) -> nowMs - at > RETENTION_MS);
 		List<String> expired = new ArrayList<>();
 		this.crashes.forEach((incarnation, crash) -> {
@@ -235,9 +224,9 @@
 	 * @param atMs when that was, on the monotonic clock, in milliseconds
 	 */
 	public void onServed(Fingerprint part, long atMs) {
-		this.servedMs.merge(part, atMs, Math::max);
+		this.cleared.onServed(part, atMs);
 		for (Crash crash : List.copyOf(crashesOf(part))) {
-			if (isCleared(part, crash)) {
+			if (this.cleared.contains(part, crash.crashedMs)) {
 				removeUse(part, crash);
 			}
 		}
--- a/core/src/main/java/org/tallycart/core/crash/CrashingRequestDetector.java
+++ b/core/src/main/java/org/tallycart/core/crash/CrashingRequestDetector.java
@@ -76,12 +76,6 @@
 	 */
 	static final long CLEARED_MS = 10_000;
 
-	/**
-	 * Retention time of when a request was completed, in milliseconds; covers the delay
-	 * of reports.
-	 */
-	private static final long COMPLETED_RETENTION_MS = 2 * CLEARED_MS;
-
 	/**
 	 * Maximum number of confirmed requests within the retention time. Above it, the
 	 * upstreams themselves are the likely cause, so that refusing requests would not
@@ -95,7 +89,7 @@
 
 	private final Map<Fingerprint, List<Crash>> crashesBySuspect = new HashMap<>();
 
-	private final Map<Fingerprint, Long> completedMs = new HashMap<>();
+	private final ClearedSuspects cleared = new ClearedSuspects(CLEARED_MS);
 
 	private final Map<Fingerprint, Long> confirmed = new HashMap<>();
 
@@ -128,7 +122,8 @@
 			if (suspect.isAnswered()) {
 				removeWaiting(crash);
 			}
-			if (!isCleared(suspect.fingerprint(), crash) && suspect.isPossibleCause(crash.begun)) {
+			if (!this.cleared.contains(suspect.fingerprint(), crash.crashedMs)
+					&& suspect.isPossibleCause(crash.begun)) {
 				add(crash, suspect);
 			}
 		}
@@ -156,11 +151,6 @@
 			.orElse(nowMs) - CLEARED_MS;
 	}
 
-	private boolean isCleared(Fingerprint fingerprint, Crash crash) {
-		Long lastMs = this.completedMs.get(fingerprint);
-		return lastMs != null && crash.crashedMs <= lastMs + CLEARED_MS;
-	}
-
 	// Once the upstream had begun to answer a suspect, those that still waited did not
 	// crash it.
 	private void removeWaiting(Crash crash) {
@@ -182,7 +172,7 @@
 	}
 
 	private void expire(long nowMs) {
-		this.completedMs.values().removeIf((at) -> nowMs - at > COMPLETED_RETENTION_MS);
+		this.cleared.expire(nowMs);
 		this.confirmed.values().removeIf((at) -> nowMs - at > RETENTION_MS);
 		List<String> expired = new ArrayList<>();
 		this.crashes.forEach((incarnation, crash) -> {
@@ -227,9 +217,9 @@
 	 * @param atMs when that was, on the monotonic clock, in milliseconds
 	 */
 	public void onCompleted(Fingerprint fingerprint, long atMs) {
-		this.completedMs.merge(fingerprint, atMs, Math::max);
+		this.cleared.onServed(fingerprint, atMs);
 		for (Crash crash : List.copyOf(this.crashesBySuspect.getOrDefault(fingerprint, List.of()))) {
-			if (isCleared(fingerprint, crash)) {
+			if (this.cleared.contains(fingerprint, crash.crashedMs)) {
 				crash.sentMs.remove(fingerprint);
 				crash.requestIds.remove(fingerprint);
 				removeFrom(fingerprint, crash);
