Tests of upstream connections share the listener that records outcomes

Three test classes had a copy of it. What they record and assert is as before: MessageLimitsTests adds the limit, UpstreamConnectionTests the body.

--- a/http/src/test/java/org/tallycart/http/event/EndlessReplyTests.java
+++ b/http/src/test/java/org/tallycart/http/event/EndlessReplyTests.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.tallycart.core.ini.Address;
 import org.testng.annotations.BeforeMethod;
@@ -73,35 +72,4 @@
 		assertTrue(sent < MAX_SENT_BYTES, name);
 	}
 
-	/** Records outcomes as text; skips replies with the field {@code Foreign}. */
-	private static final class OutcomeListener implements ReplyListener {
-
-		private final List<String> outcomes;
-
-		private OutcomeListener(List<String> outcomes) {
-			this.outcomes = outcomes;
-		}
-
-		@Override
-		public boolean onHead(HttpResponse head) {
-			return !head.containsHeader("Foreign");
-		}
-
-		@Override
-		public void onBody(byte[] part) {
-			// Only outcomes are recorded.
-		}
-
-		@Override
-		public void onEnd(ReplyEnd end) {
-			this.outcomes.add(end.toString());
-		}
-
-		@Override
-		public void onFailure(CallFailure failure) {
-			this.outcomes.add(failure.kind().toString());
-		}
-
-	}
-
 }
--- a/http/src/test/java/org/tallycart/http/event/MessageLimitsTests.java
+++ b/http/src/test/java/org/tallycart/http/event/MessageLimitsTests.java
@@ -7,7 +7,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.tallycart.core.ini.Address;
 import org.testng.annotations.DataProvider;
@@ -45,7 +44,7 @@
 		EmbeddedChannel channel = new EmbeddedChannel(connection);
 		connection.start(
 				ClientRequest.builder("p", new Address("127.0.0.1", 1), new BasicHttpRequest("GET", "/x")).build(),
-				new OutcomeListener(this.outcomes));
+				new LimitListener(this.outcomes));
 		return channel;
 	}
 
@@ -217,34 +216,17 @@
 		assertEquals(held.total(), 0);
 	}
 
-	/** Records outcomes as text; skips replies with the field {@code Foreign}. */
-	private static final class OutcomeListener implements ReplyListener {
+	/** Records the limits that were exceeded, too. */
+	private static final class LimitListener extends OutcomeListener {
 
-		private final List<String> outcomes;
-
-		private OutcomeListener(List<String> outcomes) {
-			this.outcomes = outcomes;
-		}
-
-		@Override
-		public boolean onHead(HttpResponse head) {
-			return !head.containsHeader("Foreign");
-		}
-
-		@Override
-		public void onBody(byte[] part) {
-			// Only outcomes are recorded.
-		}
-
-		@Override
-		public void onEnd(ReplyEnd end) {
-			this.outcomes.add(end.toString());
+		private LimitListener(List<String> outcomes) {
+			super(outcomes);
 		}
 
 		@Override
 		public void onFailure(CallFailure failure) {
 			String limit = failure.exceeded().map((exceeded) -> " " + exceeded.limit()).orElse("");
-			this.outcomes.add(failure.kind() + limit);
+			record(failure.kind() + limit);
 		}
 
 	}
--- a/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
@@ -9,7 +9,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.tallycart.core.ini.Address;
 import org.testng.annotations.BeforeMethod;
@@ -39,7 +38,7 @@
 		this.channel = new EmbeddedChannel(connection);
 		HttpRequest head = new BasicHttpRequest("GET", "/x");
 		connection.start(ClientRequest.builder("p", new Address("127.0.0.1", 1), head).build(),
-				new OutcomeListener(this.outcomes));
+				new BodyListener(this.outcomes));
 	}
 
 	private void receive(String text) {
@@ -100,12 +99,12 @@
 		ConnectionPool pool = new ConnectionPool(() -> 0);
 		List<EmbeddedChannel> idle = new ArrayList<>();
 		for (int i = 0; i < ConnectionPool.MAX_IDLE; i++) {
-			EmbeddedChannel each = connect(pool, new OutcomeListener(this.outcomes));
+			EmbeddedChannel each = connect(pool, new BodyListener(this.outcomes));
 			each.writeInbound(reply());
 			idle.add(each);
 		}
 		assertTrue(idle.get(0).isOpen());
-		OutcomeListener cancelling = new OutcomeListener(this.outcomes);
+		BodyListener cancelling = new BodyListener(this.outcomes);
 		EmbeddedChannel discarded = connect(pool, cancelling);
 		cancelling.onPart = () -> discarded.pipeline().get(UpstreamConnection.class).discard();
 		discarded.writeInbound(reply());
@@ -114,7 +113,7 @@
 		assertEquals(this.outcomes.size(), idle.size());
 	}
 
-	private static EmbeddedChannel connect(ConnectionPool pool, OutcomeListener listener) {
+	private static EmbeddedChannel connect(ConnectionPool pool, BodyListener listener) {
 		UpstreamConnection connection = new UpstreamConnection(pool, MessageLimits.builder().build(),
 				ConnectionObserver.NONE);
 		EmbeddedChannel channel = new EmbeddedChannel(connection);
@@ -128,23 +127,16 @@
 		return Unpooled.copiedBuffer(OK + "Content-Length: 3\r\n\r\nall", StandardCharsets.ISO_8859_1);
 	}
 
-	/** Records outcomes as text; skips replies with the field {@code Foreign}. */
-	private static final class OutcomeListener implements ReplyListener {
-
-		private final List<String> outcomes;
+	/** Records the bodies of complete replies, too. */
+	private static final class BodyListener extends OutcomeListener {
 
 		private final StringBuilder body = new StringBuilder();
 
 		private Runnable onPart = () -> {
 		};
 
-		private OutcomeListener(List<String> outcomes) {
-			this.outcomes = outcomes;
-		}
-
-		@Override
-		public boolean onHead(HttpResponse head) {
-			return !head.containsHeader("Foreign");
+		private BodyListener(List<String> outcomes) {
+			super(outcomes);
 		}
 
 		@Override
@@ -155,12 +147,7 @@
 
 		@Override
 		public void onEnd(ReplyEnd end) {
-			this.outcomes.add(end + " " + this.body);
-		}
-
-		@Override
-		public void onFailure(CallFailure failure) {
-			this.outcomes.add(failure.kind().toString());
+			record(end + " " + this.body);
 		}
 
 	}
