--- a/review/standin/ExtraStageAnswer.java
+++ b/review/standin/ExtraStageAnswer.java
@@ -5,11 +5,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 
 /**
  * Workers of stages send some answers once more, late. Breaks MIXED if a piece or a
@@ -75,6 +77,9 @@
 				record.line("the case could not run: " + ex);
 			}
 		}
+		try (Stream<Path> files = Files.walk(folder)) {
+			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
 		System.exit(code);
 	}
 
@@ -128,7 +133,7 @@
 			}
 			List<NodeProcess> nodes = new ArrayList<>();
 			for (int i = 1; i <= 2; i++) {
-				NodeProcess node = new NodeProcess(folder, "front-usaquen-" + i, "127.0.0." + (10 + i), "usaquen",
+				NodeProcess node = new NodeProcess(folder, "front-usaquen-" + i, NodeProcess.freeAddress(), "usaquen",
 						store.address(), "");
 				open.add(node);
 				nodes.add(node);
--- a/review/standin/NodeProcess.java
+++ b/review/standin/NodeProcess.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -14,6 +15,10 @@
 /** A serving process, started with the run line of the deploy file. */
 final class NodeProcess implements AutoCloseable {
 
+	private static final int METRICS_PORT = 9464;
+
+	private static final Random RANDOM = new Random();
+
 	final String name;
 
 	final String ip;
@@ -99,6 +104,20 @@
 		start();
 	}
 
+	/** Returns a loopback address on which the port of the metrics is free, too. */
+	static String freeAddress() throws IOException {
+		for (int i = 0; i < 100; i++) {
+			String ip = "127." + (1 + RANDOM.nextInt(250)) + "." + RANDOM.nextInt(250) + "." + (2 + RANDOM.nextInt(250));
+			try (ServerSocket s = new ServerSocket(METRICS_PORT, 1, InetAddress.getByName(ip))) {
+				return ip;
+			}
+			catch (IOException ex) {
+				// Another process uses the port on all addresses; tries another one.
+			}
+		}
+		throw new IOException("the port of the metrics is in use");
+	}
+
 	static int freePort(String ip) throws IOException {
 		try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
 			return s.getLocalPort();
@@ -115,7 +134,9 @@
 		builder.environment().put("TALLYCART_CONFIG", this.settings.toString());
 		builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()));
 		builder.redirectInput(new File("/dev/null"));
-		this.process = builder.start();
+		Process started = builder.start();
+		this.process = started;
+		Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
 	}
 
 	boolean isReady() {
