Upstreams that stay in use although their entries vanished are logged and counted

No line told whether a VM sent to an upstream that had left since it did not know, or since it took the entry for one that had expired in an outage of the store. TC6054 and TC6055 name these upstreams, upstreams_retained counts them.

--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -242,15 +242,28 @@
 	 * Drop vanished entries after the end of the grace period, and versions that were
 	 * unlisted long ago.
 	 * @param nowMs the current monotonic time, in milliseconds
+	 * @return the ids of the dropped entries
 	 */
-	public void expireVanished(long nowMs) {
+	public Set<String> expireVanished(long nowMs) {
 		this.unlistedVersionsMs.values()
 			.forEach((versions) -> versions.values().removeIf((at) -> nowMs - at > VERSION_RETENTION_MS));
-		if (isListTrusted(nowMs) && !this.vanished.isEmpty()) {
-			this.byService.clear();
-			this.vanished.values().forEach((state) -> onVersionUnlisted(state, nowMs));
-			this.vanished.clear();
+		if (!isListTrusted(nowMs) || this.vanished.isEmpty()) {
+			return Set.of();
 		}
+		Set<String> expired = Set.copyOf(this.vanished.keySet());
+		this.byService.clear();
+		this.vanished.values().forEach((state) -> onVersionUnlisted(state, nowMs));
+		this.vanished.clear();
+		return expired;
+	}
+
+	/**
+	 * Return the ids of the upstreams whose entries have vanished and that stay available
+	 * until the end of the grace period.
+	 * @return the ids
+	 */
+	public Set<String> retainedIds() {
+		return Set.copyOf(this.vanished.keySet());
 	}
 
 	/**
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -326,6 +326,7 @@
 		this.metrics.registerGauge("pieces.outstanding", this.pieces::outstanding);
 		this.metrics.registerGauge("store.missed", () -> this.store.isProbeFailing() ? 1 : 0);
 		this.metrics.registerGauge("upstreams", () -> this.directory.ids().size());
+		this.metrics.registerGauge("upstreams.retained", () -> this.directory.retainedIds().size());
 		this.metrics.registerGauge("evacuated_domains", () -> this.directory.evacuatedDomains().size());
 		this.metrics.registerGauge("store.era", this.store::era);
 		this.metrics.registerGauge("store.kept_against_copy", this.store::overrideCount);
@@ -360,7 +361,7 @@
 	}
 
 	private void housekeeping() {
-		this.directory.expireVanished(this.loop.nowMs());
+		this.store.expire();
 		this.coldStarts.expire(this.loop.nowMs());
 		this.crashReports.refresh();
 		this.statements.refresh();
--- a/node/src/main/java/org/tallycart/node/store/FeedReplica.java
+++ b/node/src/main/java/org/tallycart/node/store/FeedReplica.java
@@ -249,6 +249,11 @@
 		this.sink.onStoreLost();
 	}
 
+	// Drops vanished objects that are no longer retained.
+	void expire() {
+		this.sink.expire();
+	}
+
 	// Called while this VM does not read the store, if the store does not answer a probe
 	// or may have been unavailable.
 	void onStoreLost() {
--- a/node/src/main/java/org/tallycart/node/store/ObjectSink.java
+++ b/node/src/main/java/org/tallycart/node/store/ObjectSink.java
@@ -36,6 +36,10 @@
 		return local.revision() > stored.revision();
 	}
 
+	/** Drop vanished objects whose time is over. Called several times a second. */
+	default void expire() {
+	}
+
 	/** Handle a failure to reach the store. */
 	default void onStoreLost() {
 	}
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -299,6 +299,14 @@
 		this.replicas.forEach(FeedReplica::startReading);
 	}
 
+	/**
+	 * Drop vanished objects that are no longer retained. Must be called several times a
+	 * second.
+	 */
+	public void expire() {
+		this.replicas.forEach(FeedReplica::expire);
+	}
+
 	/**
 	 * Return whether all contents of the store were loaded at least once.
 	 * @return true if they were
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -1,6 +1,7 @@
 package org.tallycart.node.store;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +58,13 @@
 
 	@Override
 	public void onAll(List<StoredObject> objects) {
+		Set<String> retainedBefore = this.directory.retainedIds();
+		replaceAll(objects);
+		logRetained(retainedBefore);
+		this.onChange.run();
+	}
+
+	private void replaceAll(List<StoredObject> objects) {
 		Map<String, EntryProblem> previous = Map.copyOf(this.invalid);
 		this.invalid.clear();
 		List<UpstreamEntry> entries = new ArrayList<>();
@@ -70,15 +78,28 @@
 		this.directory.replace(entries, this.loop.nowMs());
 		this.invalid.forEach((name, problem) -> reportInvalid(name, previous.get(name), problem));
 		logListed(entries.stream().filter((entry) -> !before.contains(entry.id())).toList());
-		this.onChange.run();
 	}
 
 	@Override
 	public void onChanges(List<ObjectChange> changes) {
+		Set<String> retainedBefore = this.directory.retainedIds();
 		changes.forEach(this::apply);
+		logRetained(retainedBefore);
 		this.onChange.run();
 	}
 
+	private void logRetained(Set<String> before) {
+		List<String> retained = this.directory.retainedIds().stream().filter((id) -> !before.contains(id)).toList();
+		if (!retained.isEmpty()) {
+			this.log.event(EventCode.UPSTREAMS_RETAINED, "count", retained.size(), "upstreams", firstIds(retained),
+					"for_ms", remainingGraceMs());
+		}
+	}
+
+	private static List<String> firstIds(Collection<String> ids) {
+		return ids.stream().sorted().limit(MAX_SINGLE_LINES).toList();
+	}
+
 	private void apply(ObjectChange change) {
 		StoredObject object = change.object();
 		if (change.removed()) {
@@ -125,6 +146,14 @@
 				entry.startedMs().isPresent() ? entry.startedMs().getAsLong() : "unknown");
 	}
 
+	@Override
+	public void expire() {
+		Set<String> expired = this.directory.expireVanished(this.loop.nowMs());
+		if (!expired.isEmpty()) {
+			this.log.event(EventCode.UPSTREAMS_EXPIRED, "count", expired.size(), "upstreams", firstIds(expired));
+		}
+	}
+
 	@Override
 	public void onStoreLost() {
 		this.directory.onStoreLost();
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -228,6 +228,12 @@
 	/** A slow attempt was not hedged. */
 	HEDGE_DENIED(6053, Level.INFO,
 			"A slow attempt was not hedged; the detail holds its route and the limit or reason."),
+	/** Upstreams whose entries vanished stay in use for a grace period. */
+	UPSTREAMS_RETAINED(6054, Level.INFO,
+			"Upstreams whose entries vanished stay in use, since the entries may have expired in an outage of the store; the detail holds their number, some of their ids, and for how much longer they are retained at least."),
+	/** The grace period of upstreams whose entries vanished is over. */
+	UPSTREAMS_EXPIRED(6055, Level.INFO,
+			"The entries of retained upstreams have not returned, and the upstreams are no longer used; the detail holds their number and some of their ids."),
 	/** Requests of a workspace were deferred or rejected by a stage pool. */
 	POOL_OVERLOADED(6060, Level.INFO,
 			"A stage pool could not serve all requests of a workspace on time; the detail holds the workspace's share of what was started lately, and how many of its requests in the last second were deferred, shed, expired, and recognised as returned."),
