A VM that was turned away by the store trusts the VM that it then subscribes to

A failed read marks the list as lost, and only a read of the store by the same VM took the mark back. A VM that subscribes to another one reads no more, so it retained each removed upstream for good. The mark that a take-over sets is taken back once the source is fresh, but reads that fail in the 1.5 s until the VM subscribes set it again, and nothing takes that one back. Evidence: TC6054 at front-usaquen-2 alone, eight times from 25 s to 45 s, long after the store took it back at 17 s, and never TC6055. Fix: subscribing takes the mark back without a grace period, since the updates of the source state whether entries may reappear.

--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -220,6 +220,14 @@
 		}
 	}
 
+	/**
+	 * Record that another VM relays the platform's list from now on. Whether its removals
+	 * may be trusted is stated by that VM, see {@link #extendGraceUntil}.
+	 */
+	public void onSubscribed() {
+		this.storeUnavailable = false;
+	}
+
 	/**
 	 * Return the remaining grace period.
 	 * @param nowMs the current monotonic time, in milliseconds
--- a/node/src/main/java/org/tallycart/node/store/FeedReplica.java
+++ b/node/src/main/java/org/tallycart/node/store/FeedReplica.java
@@ -164,9 +164,12 @@
 		}
 	}
 
+	// Called when this VM subscribes to another one.
 	void stopReading() {
 		this.reading = false;
+		this.storeLost = false;
 		this.source.stop();
+		this.sink.onSubscribed();
 	}
 
 	@Override
--- a/node/src/main/java/org/tallycart/node/store/ObjectSink.java
+++ b/node/src/main/java/org/tallycart/node/store/ObjectSink.java
@@ -44,6 +44,13 @@
 	default void onStoreLost() {
 	}
 
+	/**
+	 * Handle that the objects are relayed by another VM from now on. Its updates state
+	 * whether vanished objects may reappear.
+	 */
+	default void onSubscribed() {
+	}
+
 	/** Handle a reply of the store. */
 	default void onStoreReached() {
 	}
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -159,6 +159,11 @@
 		this.directory.onStoreLost();
 	}
 
+	@Override
+	public void onSubscribed() {
+		this.directory.onSubscribed();
+	}
+
 	@Override
 	public void onStoreReached() {
 		this.directory.onStoreBack(this.loop.nowMs());
--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -142,9 +142,18 @@
 		});
 	}
 
+	/**
+	 * Return the address at which a VM calls the store.
+	 * @param vm the name of the VM
+	 * @return the address
+	 */
+	Address storeAddress(String vm) {
+		return this.store.address();
+	}
+
 	NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
-		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, this.store.address(),
+		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, storeAddress(vm),
 				new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
 	}
 
