Pools are refreshed when upstreams that were retained are dropped

A dispatcher has its own list of workers, which is refreshed by changes of entries and of the configuration. The end of a grace period changes the directory without either. Evidence: in the test the directories hold four upstreams, and the dispatcher goes on calling the two that were dropped. Fix: the sink that drops them tells the users of the directory, as after each other change. Others read the directory each time they choose (Attempt, CandidateUpstreams, ResultReleaser, UpstreamLinks), so the list of the pools was the only copy.

--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -151,6 +151,7 @@
 		Set<String> expired = this.directory.expireVanished(this.loop.nowMs());
 		if (!expired.isEmpty()) {
 			this.log.event(EventCode.UPSTREAMS_EXPIRED, "count", expired.size(), "upstreams", firstIds(expired));
+			this.onChange.run();
 		}
 	}
 
