Removals are trusted unless the store may have been away for long enough for entries to expire

A VM that takes over the reading of the store treated its first list as one after an outage, since it could not tell one, and retained removed upstreams for 2.2 s, at all VMs that follow it. The age of the former source's contents did not tell either: the reply of a watch counted as a read at the time of the reply, and a watch that was sent before an outage may be answered in it. Fix: a reply shows that the store was available when its call was sent. Each VM tracks the last such time, its own or the one that replies of other VMs state. An entry expires after three heartbeats without a renewal, so an outage takes two at least until an entry of a live upstream can expire. Only after a gap of that length a vanished entry is retained; take-overs take less. This replaces the marks that a failed read, a failed probe and a take-over set, and the grace period that a source stated to its followers: a VM that was turned away no longer starts one at VMs that were not. The time is written into updates as before, for VMs of earlier versions. A reader probes every 400 ms also without subscribers, since probes now carry the age of the contents. Tests: UpstreamRemovalTests.aVmThatTakesOverDropsUpstreamsThatWereRemovedMeanwhile failed before; UpstreamRemovalFleetTests (6 to 300 VMs in virtual time), UpstreamRetentionTests, UpstreamDirectoryTests. Test changed: entriesThatExpiredInAnOutageAreRetainedByAVmThatTakesOver let entries expire in an outage of 0.2 s that no VM could notice. The test now keeps the store away for the shortest time in which entries can expire, and asserts the same; the exact bound is in UpstreamDirectoryTests.onlyEntriesThatMayHaveExpiredAreKept, and UpstreamRemovalFleetTests lets the reader fail at any time of an outage. Tests of the former marks in UpstreamDirectoryTests state the same with times.

--- a/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
+++ b/core/src/main/java/org/tallycart/core/serving/NodeSettings.java
@@ -16,13 +16,16 @@
  * @param capacity CPU capacity of the VM, in millicores
  * @param maxDescriptors maximum number of open file descriptors of the process
  * @param store address of the platform's store
+ * @param upstreamHeartbeatMs interval at which upstreams renew their entries in the
+ * store, in milliseconds
  * @param platformLimits limits set by the operators of the platform
  * @param evacuationsEnabled whether operators may evacuate a failure domain, so that no
  * requests are sent to it
  * @since 0.1
  */
 public record NodeSettings(String vm, String ip, String failureDomain, Address callers, Address readiness, int peerPort,
-		int capacity, int maxDescriptors, Address store, PlatformLimits platformLimits, boolean evacuationsEnabled) {
+		int capacity, int maxDescriptors, Address store, long upstreamHeartbeatMs, PlatformLimits platformLimits,
+		boolean evacuationsEnabled) {
 
 	/**
 	 * Share of the descriptors for connections of callers; the others are for upstreams,
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -20,7 +20,8 @@
  * <p>
  * Entries that vanish during an outage of the platform's store, or in a grace period
  * after it, are kept until the grace period ends, since most of their upstreams are live
- * and only failed to renew them.
+ * and only failed to renew them. An outage counts only if it may have been long enough
+ * for that; an entry that vanishes otherwise was removed.
  * <p>
  * Invariant: upstreams that are draining or backing off, by their entries or replies,
  * upstreams that are removed, and upstreams in an evacuated failure domain are never
@@ -36,6 +37,18 @@
 	 */
 	private static final long RENEWAL_GRACE_MS = 2_200;
 
+	/**
+	 * Intervals of renewal that an outage takes at least until entries expire in it. An
+	 * entry expires after three intervals, and was renewed one interval before the outage
+	 * at the earliest.
+	 */
+	private static final int EXPIRY_INTERVALS = 2;
+
+	/** Default interval of renewal, in milliseconds. */
+	private static final long DEFAULT_HEARTBEAT_MS = 1_200;
+
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	/**
 	 * Time for which a software version is retained after its last upstream was unlisted,
 	 * in milliseconds; longer than any stream.
@@ -60,9 +73,25 @@
 
 	private boolean loaded;
 
-	private boolean storeUnavailable;
+	private final long minExpiryMs;
 
-	private long graceUntilMs = Long.MIN_VALUE / 2;
+	private long storeAvailableMs = NEVER;
+
+	private long graceUntilMs = NEVER;
+
+	/** Create an empty directory of upstreams that renew their entries every 1.2 s. */
+	public UpstreamDirectory() {
+		this(DEFAULT_HEARTBEAT_MS);
+	}
+
+	/**
+	 * Create an empty directory.
+	 * @param heartbeatMs the interval at which upstreams renew their entries, in
+	 * milliseconds
+	 */
+	public UpstreamDirectory(long heartbeatMs) {
+		this.minExpiryMs = EXPIRY_INTERVALS * heartbeatMs;
+	}
 
 	/**
 	 * Replace the list.
@@ -201,31 +230,27 @@
 	}
 
 	private boolean isListTrusted(long nowMs) {
-		return !this.storeUnavailable && nowMs >= this.graceUntilMs;
+		return !isOutagePossible(nowMs) && nowMs >= this.graceUntilMs;
 	}
 
-	/** Record that the platform's store is unavailable. */
-	public void onStoreLost() {
-		this.storeUnavailable = true;
+	// Returns whether entries of live upstreams may have expired until a given time.
+	private boolean isOutagePossible(long atMs) {
+		return this.storeAvailableMs != NEVER && atMs - this.storeAvailableMs >= this.minExpiryMs;
 	}
 
 	/**
-	 * Record that the platform's store is available again, which starts the grace period.
+	 * Record that the platform's store was available at some time, to this VM or to
+	 * another one. If it may have been unavailable for long enough before, the grace
+	 * period starts. Must be called before the changes that were read then are applied.
+	 * @param atMs the time at which a call was sent that the store answered, in monotonic
+	 * time
 	 * @param nowMs the current monotonic time, in milliseconds
 	 */
-	public void onStoreBack(long nowMs) {
-		if (this.storeUnavailable) {
-			this.storeUnavailable = false;
+	public void onStoreAvailable(long atMs, long nowMs) {
+		if (isOutagePossible(atMs)) {
 			this.graceUntilMs = nowMs + RENEWAL_GRACE_MS;
 		}
-	}
-
-	/**
-	 * Record that another VM relays the platform's list from now on. Whether its removals
-	 * may be trusted is stated by that VM, see {@link #extendGraceUntil}.
-	 */
-	public void onSubscribed() {
-		this.storeUnavailable = false;
+		this.storeAvailableMs = Math.max(this.storeAvailableMs, atMs);
 	}
 
 	/**
@@ -235,15 +260,7 @@
 	 * once
 	 */
 	public long remainingGraceMs(long nowMs) {
-		return this.storeUnavailable ? RENEWAL_GRACE_MS : Math.max(this.graceUntilMs - nowMs, 0);
-	}
-
-	/**
-	 * Extend the grace period.
-	 * @param untilMs the earliest end of the grace period, in monotonic time
-	 */
-	public void extendGraceUntil(long untilMs) {
-		this.graceUntilMs = Math.max(this.graceUntilMs, untilMs);
+		return isOutagePossible(nowMs) ? RENEWAL_GRACE_MS : Math.max(this.graceUntilMs - nowMs, 0);
 	}
 
 	/**
--- a/core/src/test/java/org/tallycart/core/fleet/StoreReaderSimulation.java
+++ b/core/src/test/java/org/tallycart/core/fleet/StoreReaderSimulation.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 
 import org.tallycart.core.ini.Address;
+import org.tallycart.core.serving.UpstreamEntry;
+import org.tallycart.core.upstream.UpstreamDirectory;
 
 /**
  * Simulation of VMs that receive the store's contents, in virtual time: the production
@@ -35,6 +37,11 @@
 	/** Store calls of a VM that starts to read: paged lists, and two watches. */
 	private static final double INITIAL_READ_CALLS = 6;
 
+	/** Period of the probes of a VM that reads the store, in milliseconds. */
+	private static final long PROBE_MS = 400;
+
+	private static final UpstreamEntry UPSTREAM = UpstreamEntry.builder("u", "s").build();
+
 	/** Cost of a store probe, in calls. */
 	private static final double PROBE_CALLS = 0.1;
 
@@ -56,6 +63,9 @@
 
 	private long version = 1;
 
+	// Version up to which the store lists the upstream.
+	private long listedUntil = Long.MAX_VALUE;
+
 	private double calls;
 
 	/**
@@ -102,6 +112,32 @@
 		this.version++;
 	}
 
+	// The entry of the upstream vanishes from the store.
+	void removeUpstream() {
+		this.listedUntil = this.version;
+		change();
+	}
+
+	// The entry of the upstream is back.
+	void restoreUpstream() {
+		this.listedUntil = Long.MAX_VALUE;
+		change();
+	}
+
+	/**
+	 * Return the live VMs that would send requests to the upstream.
+	 * @return the names of the VMs
+	 */
+	Set<String> sendingVms() {
+		Set<String> sending = new HashSet<>();
+		live().forEach((vm) -> {
+			if (!vm.directory.candidates("s", this.nowMs).isEmpty()) {
+				sending.add(vm.name());
+			}
+		});
+		return sending;
+	}
+
 	double takeCalls() {
 		double taken = this.calls;
 		this.calls = 0;
@@ -157,6 +193,8 @@
 
 		private final StoreSourceChooser chooser;
 
+		private final UpstreamDirectory directory = new UpstreamDirectory();
+
 		private boolean started;
 
 		private boolean recordsLoaded;
@@ -167,6 +205,8 @@
 
 		private long reviewedMs = -REVIEW_MS;
 
+		private long probedMs = -PROBE_MS;
+
 		private Vm(VmRecord record, long startMs) {
 			this.record = record;
 			this.startMs = startMs;
@@ -195,6 +235,20 @@
 			}
 			sendHeartbeats(now);
 			receiveUpdates();
+			this.directory.expireVanished(now);
+		}
+
+		private void receive(long received) {
+			if (received <= this.version) {
+				return;
+			}
+			this.version = received;
+			if (received > StoreReaderSimulation.this.listedUntil) {
+				this.directory.remove(UPSTREAM.id(), StoreReaderSimulation.this.nowMs);
+			}
+			else {
+				this.directory.put(UPSTREAM, StoreReaderSimulation.this.nowMs);
+			}
 		}
 
 		private void start(long now) {
@@ -235,6 +289,7 @@
 		private void probe(long now) {
 			StoreReaderSimulation.this.calls += PROBE_CALLS;
 			if (isStoreReachable()) {
+				this.directory.onStoreAvailable(now, now);
 				this.chooser.onProbeSuccess(now);
 				review(now);
 			}
@@ -246,8 +301,12 @@
 		private void read(long now) {
 			StoreReaderSimulation.this.calls += READ_CALLS_PER_S * STEP_MS / 1_000;
 			if (isStoreReachable() && now >= this.repliesFromMs) {
-				this.chooser.onStoreRead(now);
-				this.version = StoreReaderSimulation.this.version;
+				if (now - this.probedMs >= PROBE_MS) {
+					this.probedMs = now;
+					this.chooser.onStoreRead(now);
+					this.directory.onStoreAvailable(now, now);
+				}
+				receive(StoreReaderSimulation.this.version);
 				this.recordsLoaded = true;
 			}
 		}
@@ -260,7 +319,11 @@
 				if (reachable) {
 					this.table.onReply(requested.vm(), other.startMs + 1, false, now);
 					boolean canRelay = other.chooser.canRelay(now);
-					this.chooser.onReply(requested.vm(), canRelay, canRelay ? other.chooser.storeAgeMs(now) : 0, now);
+					long ageMs = canRelay ? other.chooser.storeAgeMs(now) : 0;
+					this.chooser.onReply(requested.vm(), canRelay, ageMs, now);
+					if (canRelay) {
+						this.directory.onStoreAvailable(now - ageMs, now);
+					}
 				}
 			}
 		}
@@ -271,7 +334,7 @@
 					: this.chooser.preferredSource(this.table, StoreReaderSimulation.this.nowMs);
 			Vm other = StoreReaderSimulation.this.vms.get(source);
 			if (other != null && !other.name().equals(name()) && !StoreReaderSimulation.this.down.contains(source)) {
-				this.version = Math.max(this.version, other.version);
+				receive(other.version);
 			}
 		}
 
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -22,11 +22,13 @@
  */
 public class UpstreamDirectoryTests {
 
-	private UpstreamDirectory directory = new UpstreamDirectory();
+	private static final long HEARTBEAT_MS = 1_200;
+
+	private UpstreamDirectory directory = new UpstreamDirectory(HEARTBEAT_MS);
 
 	@BeforeMethod
 	void setUp() {
-		this.directory = new UpstreamDirectory();
+		this.directory = new UpstreamDirectory(HEARTBEAT_MS);
 		this.directory.replace(List.of(entry("a", false), entry("b", false)), 0);
 	}
 
@@ -120,14 +122,48 @@
 
 	@Test
 	void entriesThatVanishInAnOutageAreKeptForTheGracePeriod() {
-		this.directory.onStoreLost();
-		this.directory.remove("a", 100);
-		this.directory.onStoreBack(1_000);
-		this.directory.replace(List.of(entry("b", false)), 1_000);
-		this.directory.expireVanished(3_000);
-		assertEquals(candidates(3_000), List.of("a", "b"));
-		this.directory.expireVanished(3_300);
-		assertEquals(candidates(3_300), List.of("b"), "still missing: gone");
+		this.directory.onStoreAvailable(0, 0);
+		this.directory.remove("a", 4_000);
+		this.directory.onStoreAvailable(5_000, 5_000);
+		this.directory.replace(List.of(entry("b", false)), 5_000);
+		assertEquals(this.directory.expireVanished(7_000), Set.of());
+		assertEquals(candidates(7_000), List.of("a", "b"));
+		assertEquals(this.directory.expireVanished(7_300), Set.of("a"));
+		assertEquals(candidates(7_300), List.of("b"), "still missing: gone");
+	}
+
+	@DataProvider
+	static Object[][] silences() {
+		return new Object[][] { { 2 * HEARTBEAT_MS - 1, List.of("b") }, { 2 * HEARTBEAT_MS, List.of("a", "b") } };
+	}
+
+	// Guards against requests to an upstream that has left, after a VM has changed its
+	// source of the list, and against a service without upstreams after an outage that
+	// no call of a VM has met.
+	@Test(dataProvider = "silences")
+	void onlyEntriesThatMayHaveExpiredAreKept(long silenceMs, List<String> expected) {
+		this.directory.onStoreAvailable(0, 0);
+		this.directory.onStoreAvailable(silenceMs, silenceMs + 5);
+		this.directory.replace(List.of(entry("b", false)), silenceMs + 5);
+		assertEquals(candidates(silenceMs + 5), expected);
+	}
+
+	// Guards against a VM that starts, and counts the time before as an outage.
+	@Test
+	void theFirstContactStartsNoGracePeriod() {
+		this.directory.onStoreAvailable(9_000, 9_000);
+		this.directory.remove("a", 9_000);
+		assertEquals(candidates(9_000), List.of("b"));
+	}
+
+	// Guards against a grace period for each of two calls whose replies overtake each
+	// other.
+	@Test
+	void anEarlierCallThatIsAnsweredLateChangesNothing() {
+		this.directory.onStoreAvailable(5_000, 5_000);
+		this.directory.onStoreAvailable(1_000, 5_100);
+		this.directory.onStoreAvailable(6_000, 6_000);
+		assertEquals(this.directory.remainingGraceMs(6_000), 0);
 	}
 
 	/**
@@ -136,42 +172,46 @@
 	 */
 	@Test
 	void anUpstreamThatVanishedInAnOutageIsFoundByItsAddress() {
-		this.directory.onStoreLost();
-		this.directory.remove("a", 100);
+		this.directory.onStoreAvailable(0, 0);
+		this.directory.remove("a", 4_000);
 		assertEquals(this.directory.findByAddress(entry("a", false).address()).orElseThrow().entry().id(), "a");
-		this.directory.put(UpstreamEntry.builder("next", "s").location(entry("a", false).address(), "d").build(), 200);
+		this.directory.put(UpstreamEntry.builder("next", "s").location(entry("a", false).address(), "d").build(),
+				4_100);
 		assertEquals(this.directory.findByAddress(entry("a", false).address()).orElseThrow().entry().id(), "next");
 	}
 
 	@Test
 	void anEntryThatReturnsBelongsToTheSameUpstream() {
-		this.directory.onStoreLost();
-		this.directory.remove("a", 100);
-		this.directory.onStoreBack(1_000);
-		this.directory.put(entry("a", false), 1_000);
+		this.directory.onStoreAvailable(0, 0);
+		this.directory.remove("a", 4_000);
+		this.directory.onStoreAvailable(5_000, 5_000);
+		this.directory.put(entry("a", false), 5_000);
 		this.directory.expireVanished(9_000);
 		assertEquals(candidates(9_000), List.of("a", "b"));
 	}
 
 	@Test
 	void aDrainingUpstreamThatVanishesInAnOutageIsRemoved() {
+		this.directory.onStoreAvailable(0, 0);
 		this.directory.put(entry("a", true), 50);
-		this.directory.onStoreLost();
-		this.directory.remove("a", 100);
-		assertEquals(candidates(100), List.of("b"));
+		this.directory.remove("a", 4_000);
+		assertEquals(candidates(4_000), List.of("b"));
 		assertTrue(this.directory.findByAddress(new Address("10.0.0.1", 'a')).isEmpty());
 	}
 
+	/** Entries that expired in an outage may be swept some time after it. */
 	@Test
-	void aGracePeriodFromAnotherVmKeepsVanishedEntries() {
-		assertEquals(this.directory.remainingGraceMs(0), 0);
-		this.directory.extendGraceUntil(1_500);
-		assertEquals(this.directory.remainingGraceMs(1_000), 500);
-		this.directory.remove("a", 1_000);
-		this.directory.expireVanished(1_400);
-		assertEquals(candidates(1_400), List.of("a", "b"));
-		this.directory.expireVanished(1_500);
-		assertEquals(candidates(1_500), List.of("b"));
+	void entriesThatVanishSoonAfterAnOutageAreKept() {
+		this.directory.onStoreAvailable(0, 0);
+		assertEquals(this.directory.remainingGraceMs(1_000), 0);
+		this.directory.onStoreAvailable(5_000, 5_000);
+		assertEquals(this.directory.remainingGraceMs(6_000), 1_200);
+		this.directory.remove("a", 6_000);
+		this.directory.onStoreAvailable(7_000, 7_000);
+		this.directory.expireVanished(7_100);
+		assertEquals(candidates(7_100), List.of("a", "b"));
+		this.directory.expireVanished(7_200);
+		assertEquals(candidates(7_200), List.of("b"));
 	}
 
 	private static UpstreamEntry started(long unixMs) {
@@ -215,12 +255,13 @@
 	/** A valid entry is overwritten by an invalid one during an outage of the store. */
 	@Test
 	void anUpstreamWithAnInvalidEntryIsNotUsedInAnOutage() {
-		this.directory.onStoreLost();
-		this.directory.removeInvalid("a", 0);
-		assertEquals(candidates(100), List.of("b"));
-		this.directory.remove("b", 200);
-		this.directory.removeInvalid("b", 0);
-		assertEquals(candidates(300), List.of(), "kept as vanished until then");
+		this.directory.onStoreAvailable(0, 0);
+		this.directory.removeInvalid("a", 4_000);
+		assertEquals(candidates(4_000), List.of("b"));
+		this.directory.remove("b", 4_100);
+		assertEquals(candidates(4_100), List.of("b"));
+		this.directory.removeInvalid("b", 4_200);
+		assertEquals(candidates(4_200), List.of(), "kept as vanished until then");
 	}
 
 	/** A failure domain is evacuated and the evacuation is withdrawn. */
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -114,9 +114,9 @@
 
 	private final ActiveConfig config = new ActiveConfig(this.log);
 
-	private final UpstreamDirectory directory = new UpstreamDirectory();
+	private final UpstreamDirectory directory;
 
-	private final ReadinessHandler readiness = new ReadinessHandler(this.config, this.directory, this.log);
+	private final ReadinessHandler readiness;
 
 	private final HeldBytes held = new HeldBytes(MAX_HELD_BYTES);
 
@@ -169,6 +169,8 @@
 	private Node(NodeSettings settings, int metricsPort, Optional<String> proxyHost, HedgeLimits hedgeLimits) {
 		this.metricsPort = metricsPort;
 		this.settings = settings;
+		this.directory = new UpstreamDirectory(settings.upstreamHeartbeatMs());
+		this.readiness = new ReadinessHandler(this.config, this.directory, this.log);
 		WireIdentity identity = new WireIdentity(settings.vm(), Clocks.SYSTEM.wallMs(), new HybridClock(),
 				Clocks.SYSTEM::wallMs);
 		this.transport = WireTransport.create(identity, this.group);
--- a/node/src/main/java/org/tallycart/node/SelfTest.java
+++ b/node/src/main/java/org/tallycart/node/SelfTest.java
@@ -82,7 +82,8 @@
 	private void startNodes(Address store) {
 		for (int i = 0; i < VMS; i++) {
 			NodeSettings settings = new NodeSettings(NAME + i, LOOPBACK, NAME, ANY_PORT, ANY_PORT, 0, CAPACITY,
-					Integer.MAX_VALUE, store, new NodeSettings.PlatformLimits(TIMEOUT_MS, 0, TIMEOUT_MS, 0), true);
+					Integer.MAX_VALUE, store, TIMEOUT_MS, new NodeSettings.PlatformLimits(TIMEOUT_MS, 0, TIMEOUT_MS, 0),
+					true);
 			Either<String, Node> node = Node.start(settings, 0);
 			node.peek(this.nodes::add).peekLeft(this.failures::add);
 		}
--- a/node/src/main/java/org/tallycart/node/store/FeedReplica.java
+++ b/node/src/main/java/org/tallycart/node/store/FeedReplica.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongConsumer;
 
 import org.tallycart.node.EventLoop;
 import org.tallycart.node.log.NodeLog;
@@ -46,7 +47,7 @@
 
 	private final ObjectSink sink;
 
-	private final Runnable onContact;
+	private final LongConsumer onStoreAvailable;
 
 	private final Consumer<FeedUpdate> publisher;
 
@@ -67,12 +68,25 @@
 
 	private boolean storeLost;
 
+	private long requestedMs;
+
+	/**
+	 * Create an empty replica.
+	 * @param feed the kind of object
+	 * @param sink receives the objects
+	 * @param source creates the source that reads the store for a listener
+	 * @param loop the event loop
+	 * @param log the event log
+	 * @param onStoreAvailable receives the time at which a call was sent that the store
+	 * has answered, before its contents are applied
+	 * @param publisher receives updates to be relayed
+	 */
 	FeedReplica(Feed feed, ObjectSink sink, Function<FeedListener, ObjectSource> source, EventLoop loop, NodeLog log,
-			Runnable onContact, Consumer<FeedUpdate> publisher) {
+			LongConsumer onStoreAvailable, Consumer<FeedUpdate> publisher) {
 		this.feed = feed;
 		this.source = source.apply(this);
 		this.sink = sink;
-		this.onContact = onContact;
+		this.onStoreAvailable = onStoreAvailable;
 		this.publisher = publisher;
 		this.loop = loop;
 		this.log = log;
@@ -169,7 +183,6 @@
 		this.reading = false;
 		this.storeLost = false;
 		this.source.stop();
-		this.sink.onSubscribed();
 	}
 
 	@Override
@@ -243,13 +256,17 @@
 		this.sink.onChanges(changes);
 	}
 
+	@Override
+	public void onRequest() {
+		this.requestedMs = this.loop.nowMs();
+	}
+
 	@Override
 	public void onFailure(StoreError error) {
 		if (!this.storeLost) {
 			this.storeLost = true;
 			this.log.event(EventCode.STORE_LOST, "feed", this.feed, "error", error.kind(), "detail", error.detail());
 		}
-		this.sink.onStoreLost();
 	}
 
 	// Drops vanished objects that are no longer retained.
@@ -257,25 +274,13 @@
 		this.sink.expire();
 	}
 
-	// Called while this VM does not read the store, if the store does not answer a probe
-	// or may have been unavailable.
-	void onStoreLost() {
-		this.sink.onStoreLost();
-	}
-
-	// Called when another VM relays the store again.
-	void onRelayRestored() {
-		this.sink.onStoreReached();
-	}
-
 	@Override
 	public void onSuccess() {
 		if (this.storeLost) {
 			this.storeLost = false;
 			this.log.event(EventCode.STORE_BACK, "feed", this.feed);
 		}
-		this.sink.onStoreReached();
-		this.onContact.run();
+		this.onStoreAvailable.accept(this.requestedMs);
 	}
 
 	/**
@@ -290,6 +295,7 @@
 		return update(StorePosition.UNKNOWN, true).addAllObjects(all).build();
 	}
 
+	// Only VMs of earlier versions read the remaining grace period.
 	private FeedUpdate.Builder update(StorePosition from, boolean snapshot) {
 		return FeedUpdate.newBuilder()
 			.setFeed(this.feed)
@@ -337,9 +343,6 @@
 		if (samePosition && matches(objects(changes))) {
 			return;
 		}
-		if (update.getUntrustedMs() > 0) {
-			this.sink.extendGrace(update.getUntrustedMs());
-		}
 		if (update.getWhole()) {
 			this.position = reached;
 			replaceAll(objects(changes));
--- a/node/src/main/java/org/tallycart/node/store/ObjectSink.java
+++ b/node/src/main/java/org/tallycart/node/store/ObjectSink.java
@@ -40,21 +40,6 @@
 	default void expire() {
 	}
 
-	/** Handle a failure to reach the store. */
-	default void onStoreLost() {
-	}
-
-	/**
-	 * Handle that the objects are relayed by another VM from now on. Its updates state
-	 * whether vanished objects may reappear.
-	 */
-	default void onSubscribed() {
-	}
-
-	/** Handle a reply of the store. */
-	default void onStoreReached() {
-	}
-
 	/**
 	 * Return for how much longer vanished objects are retained, since they may reappear.
 	 * @return milliseconds; 0 if removals take effect at once
@@ -63,11 +48,4 @@
 		return 0;
 	}
 
-	/**
-	 * Retain vanished objects for some time, since they may reappear.
-	 * @param ms the time from now, in milliseconds
-	 */
-	default void extendGrace(long ms) {
-	}
-
 }
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -79,13 +79,10 @@
 	private static final long START_GRACE_MS = 3_000;
 
 	/**
-	 * Interval of probes of the store while this VM has subscribers, in milliseconds; see
+	 * Interval at which the reader probes the store, in milliseconds; see
 	 * {@link StoreSourceChooser}.
 	 */
-	private static final long PROBE_WITH_SUBSCRIBERS_INTERVAL_MS = 400;
-
-	/** Interval of probes of the store without subscribers, in milliseconds. */
-	private static final long PROBE_INTERVAL_MS = 1_000;
+	private static final long PROBE_INTERVAL_MS = 400;
 
 	/**
 	 * Delay before a failed write of this VM's record is retried, in milliseconds.
@@ -110,6 +107,8 @@
 
 	private final NodeLog log;
 
+	private final UpstreamDirectory directory;
+
 	private final VmRecords records;
 
 	private final FeedReplica vmReplica;
@@ -128,8 +127,6 @@
 
 	private long upToDateSinceMs = Long.MAX_VALUE;
 
-	private boolean relayLost;
-
 	private long lastProbeMs;
 
 	private Runnable rollbackListener = () -> {
@@ -163,19 +160,20 @@
 		this.onRolesChanged = onRolesChanged;
 		this.loop = loop;
 		this.log = log;
+		this.directory = state.directory();
 		this.records = new VmRecords(client);
 		client.setEraListener((from, to) -> onEra(to, "the store"));
 		this.vmReplica = createReplica(Feed.VMS, new VmRecordSink(log, this::onRecords),
 				(listener) -> new ObjectFeed(client, loop.executor(), VmRecords.KIND,
 						OptionalLong.of(RECORDS_INTERVAL_MS), listener));
 		this.replicas = new ArrayList<>();
-		UpstreamDirectory directory = state.directory();
 		addReplica(client, Feed.CONFIGURATION, ConfigDecoder.KIND, new ConfigSink(state.config(), log, onChange));
 		addReplica(client, Feed.UPSTREAMS, UpstreamDecoder.KIND,
-				new UpstreamSink(directory, loop, log, state.metrics(), onChange));
+				new UpstreamSink(this.directory, loop, log, state.metrics(), onChange));
 		if (settings.evacuationsEnabled()) {
-			directory.expectEvacuations();
-			addReplica(client, Feed.EVACUATIONS, EvacuationOrders.KIND, new EvacuationSink(directory, log, onChange));
+			this.directory.expectEvacuations();
+			addReplica(client, Feed.EVACUATIONS, EvacuationOrders.KIND,
+					new EvacuationSink(this.directory, log, onChange));
 		}
 		addReplica(client, Feed.QUARANTINE, QuarantineRecords.KIND, new QuarantineSink(state.quarantine(), loop, log));
 		this.replicas.add(this.vmReplica);
@@ -190,7 +188,7 @@
 	}
 
 	private FeedReplica createReplica(Feed feed, ObjectSink sink, Function<FeedListener, ObjectSource> source) {
-		return new FeedReplica(feed, sink, source, this.loop, this.log, this::onContact, this::publish);
+		return new FeedReplica(feed, sink, source, this.loop, this.log, this::onStoreRead, this::publish);
 	}
 
 	/**
@@ -260,14 +258,13 @@
 	private void review(LeaderView view, long now) {
 		this.chooser.setHasSubscribers(!this.subscribers.current(now).isEmpty());
 		updateWatchedRoles(this.chooser.watchedRoles(view, now));
-		boolean loaded = isLoaded();
-		StoreSourceChooser.Action action = this.chooser.review(view, loaded, this.vmReplica.isLoaded(), now);
+		StoreSourceChooser.Action action = this.chooser.review(view, isLoaded(), this.vmReplica.isLoaded(), now);
 		switch (action) {
 			case PROBE -> this.records.probe((succeeded) -> onSourceProbed(succeeded, now));
 			case READ_STORE -> {
 				this.log.event(EventCode.STORE_FOLLOWED, "by", this.chooser.source(), "unfit",
 						this.chooser.preferredSource(view, now));
-				startReading(loaded);
+				this.replicas.forEach(FeedReplica::startReading);
 			}
 			case SUBSCRIBE -> {
 				this.log.event(EventCode.STORE_FOLLOWED, "by", this.chooser.source());
@@ -281,22 +278,6 @@
 		if (readsStore()) {
 			probeIfDue(now);
 		}
-		if (this.relayLost && this.chooser.hasFreshSource()) {
-			this.relayLost = false;
-			this.replicas.forEach(FeedReplica::onRelayRestored);
-		}
-	}
-
-	// A VM that takes over does not know whether entries vanished in an outage, so it
-	// retains them for the grace period after the first reply of the store. The age of
-	// the former source's contents does not tell, since the reply of a waiting watch
-	// counts as a read of the store.
-	private void startReading(boolean takesOver) {
-		if (takesOver) {
-			this.relayLost = true;
-			this.replicas.forEach(FeedReplica::onStoreLost);
-		}
-		this.replicas.forEach(FeedReplica::startReading);
 	}
 
 	/**
@@ -334,16 +315,14 @@
 		return this.upToDateSinceMs;
 	}
 
-	// Without a store and a relay, vanished entries are retained for a grace period.
 	private void onSourceProbed(boolean succeeded, long sentMs) {
 		if (succeeded) {
+			this.directory.onStoreAvailable(sentMs, this.loop.nowMs());
 			this.chooser.onProbeSuccess(sentMs);
 			review();
 		}
 		else if (!readsStore()) {
-			this.relayLost = true;
 			this.chooser.onProbeFailure();
-			this.replicas.forEach(FeedReplica::onStoreLost);
 		}
 	}
 
@@ -355,9 +334,7 @@
 	}
 
 	private void probeIfDue(long now) {
-		long intervalMs = this.subscribers.current(now).isEmpty() ? PROBE_INTERVAL_MS
-				: PROBE_WITH_SUBSCRIBERS_INTERVAL_MS;
-		if (now - this.lastProbeMs < intervalMs) {
+		if (now - this.lastProbeMs < PROBE_INTERVAL_MS) {
 			return;
 		}
 		this.lastProbeMs = now;
@@ -366,7 +343,7 @@
 
 	private void onProbed(boolean succeeded, long sentMs) {
 		if (succeeded) {
-			this.chooser.onStoreRead(sentMs);
+			onStoreRead(sentMs);
 			if (this.probeFailed && readsStore()) {
 				this.replicas.forEach(FeedReplica::startReading);
 			}
@@ -374,8 +351,10 @@
 		this.probeFailed = !succeeded;
 	}
 
-	private void onContact() {
-		this.chooser.onStoreRead(this.loop.nowMs());
+	// Records that the store answered a call that was sent at the given time.
+	private void onStoreRead(long sentMs) {
+		this.chooser.onStoreRead(sentMs);
+		this.directory.onStoreAvailable(sentMs, this.loop.nowMs());
 	}
 
 	private void publish(FeedUpdate update) {
@@ -471,7 +450,11 @@
 	@Override
 	public void onReply(String vm, NodeBeat reply) {
 		long now = this.loop.nowMs();
-		this.chooser.onReply(vm, reply.getPassesOn(), Integer.toUnsignedLong(reply.getStoreAgeMs()), now);
+		long ageMs = Integer.toUnsignedLong(reply.getStoreAgeMs());
+		this.chooser.onReply(vm, reply.getPassesOn(), ageMs, now);
+		if (reply.getPassesOn()) {
+			this.directory.onStoreAvailable(now - ageMs, now);
+		}
 		if (vm.equals(source())) {
 			reply.getKnownList()
 				.forEach((revision) -> sendRecordsIfBehind(vm, revision, now,
--- a/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
+++ b/node/src/main/java/org/tallycart/node/store/UpstreamSink.java
@@ -155,29 +155,9 @@
 		}
 	}
 
-	@Override
-	public void onStoreLost() {
-		this.directory.onStoreLost();
-	}
-
-	@Override
-	public void onSubscribed() {
-		this.directory.onSubscribed();
-	}
-
-	@Override
-	public void onStoreReached() {
-		this.directory.onStoreBack(this.loop.nowMs());
-	}
-
 	@Override
 	public long remainingGraceMs() {
 		return this.directory.remainingGraceMs(this.loop.nowMs());
 	}
 
-	@Override
-	public void extendGrace(long ms) {
-		this.directory.extendGraceUntil(this.loop.nowMs() + ms);
-	}
-
 }
--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -151,10 +151,18 @@
 		return this.store.address();
 	}
 
+	/**
+	 * Return the interval at which upstreams renew their entries.
+	 * @return the interval, in milliseconds
+	 */
+	long upstreamHeartbeatMs() {
+		return 1_200;
+	}
+
 	NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
 		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, storeAddress(vm),
-				new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
+				upstreamHeartbeatMs(), new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
 	}
 
 	static void await(BooleanSupplier condition) {
--- a/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/SilentUpstreamRequestTests.java
@@ -100,7 +100,7 @@
 		NodeSettings settings = settings("vm-0");
 		node().reload(new NodeSettings(settings.vm(), settings.ip(), settings.failureDomain(), settings.callers(),
 				settings.readiness(), settings.peerPort(), settings.capacity(), settings.maxDescriptors(),
-				settings.store(), NO_RETRIES, settings.evacuationsEnabled()));
+				settings.store(), settings.upstreamHeartbeatMs(), NO_RETRIES, settings.evacuationsEnabled()));
 		assertTrue(ready(node()));
 	}
 
--- a/node/src/test/java/org/tallycart/node/StoreReplicationTests.java
+++ b/node/src/test/java/org/tallycart/node/StoreReplicationTests.java
@@ -21,6 +21,11 @@
 		return 4;
 	}
 
+	@Override
+	long upstreamHeartbeatMs() {
+		return 300;
+	}
+
 	@BeforeMethod(dependsOnMethods = "begin")
 	void settle() {
 		await(() -> readerCount() == 1);
@@ -135,9 +140,9 @@
 	}
 
 	/**
-	 * Entries expire during an outage that ends before the other VMs have noticed it, and
-	 * the reader fails in it. Guards against a VM that takes over, removes all upstreams
-	 * and refuses requests.
+	 * Entries expire in the shortest outage in which they can, and the reader fails as it
+	 * begins. Guards against a VM that takes over, removes all upstreams and refuses
+	 * requests.
 	 */
 	@Test
 	void entriesThatExpiredInAnOutageAreRetainedByAVmThatTakesOver() {
@@ -147,6 +152,7 @@
 		this.nodes.remove(reader);
 		this.store.remove("servers", "i-plain0");
 		this.store.remove("servers", "i-plain1");
+		pause(2 * upstreamHeartbeatMs());
 		int before = this.store.watchCount("servers");
 		this.store.setDown(false);
 		await(() -> this.store.watchCount("servers") > before);
--- a/node/src/test/java/org/tallycart/node/UpstreamRemovalTests.java
+++ b/node/src/test/java/org/tallycart/node/UpstreamRemovalTests.java
@@ -96,4 +96,21 @@
 		assertEquals(stageCalls(), before);
 	}
 
+	// Guards against requests to upstreams that were removed while the VM that reads the
+	// store fails, since the VM that takes over takes them for expired.
+	@Test
+	void aVmThatTakesOverDropsUpstreamsThatWereRemovedMeanwhile() {
+		Node reader = awaitReader();
+		reader.close();
+		this.nodes.remove(reader);
+		this.store.remove("servers", "i-plain0");
+		for (Node node : this.nodes) {
+			await(() -> {
+				String page = metrics(node);
+				assertTrue(page.contains("\nupstreams_retained 0.0\n"), page);
+				return page.contains("\nupstreams " + (UPSTREAMS - 1) + ".0\n");
+			});
+		}
+	}
+
 }
--- a/node/src/test/java/org/tallycart/node/store/FeedReplicaTests.java
+++ b/node/src/test/java/org/tallycart/node/store/FeedReplicaTests.java
@@ -155,7 +155,7 @@
 					TaskFailureHandler.install((code, detail) -> {
 						throw new IllegalStateException(detail);
 					}), () -> FeedReplicaTests.this.nowMs);
-			this.replica = new FeedReplica(Feed.UPSTREAMS, new Sink(this.names), Source::new, loop, log, () -> {
+			this.replica = new FeedReplica(Feed.UPSTREAMS, new Sink(this.names), Source::new, loop, log, (sentMs) -> {
 			}, (FeedUpdate update) -> {
 			});
 		}
--- a/node/src/test/java/org/tallycart/node/store/StoreReplicatorTests.java
+++ b/node/src/test/java/org/tallycart/node/store/StoreReplicatorTests.java
@@ -63,7 +63,7 @@
 		ObjectClient objects = new ObjectClient(http, loop.executor(), any, (call) -> {
 		});
 		NodeSettings settings = new NodeSettings("vm-0", "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, any,
-				new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
+				1_200, new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
 		ReplicatedState state = new ReplicatedState(new ActiveConfig(log), new UpstreamDirectory(), new Quarantine(),
 				new NodeMetrics());
 		return new StoreReplicator(settings, objects, loop, log, state, () -> {
--- a/node/src/test/java/org/tallycart/node/store/UpstreamRetentionTests.java
+++ b/node/src/test/java/org/tallycart/node/store/UpstreamRetentionTests.java
@@ -62,9 +62,9 @@
 		NodeLog log = new NodeLog(() -> this.nowMs);
 		UpstreamSink sink = new UpstreamSink(this.directory, loop, log, new NodeMetrics(), () -> {
 		});
-		return new FeedReplica(Feed.UPSTREAMS, sink, this::connect, loop, log, () -> {
-		}, (update) -> {
-		});
+		return new FeedReplica(Feed.UPSTREAMS, sink, this::connect, loop, log,
+				(sentMs) -> this.directory.onStoreAvailable(sentMs, this.nowMs), (update) -> {
+				});
 	}
 
 	private ObjectSource connect(FeedListener listener) {
@@ -80,6 +80,7 @@
 	}
 
 	private void answerList(long revision, String... names) {
+		store().onRequest();
 		store().onSuccess();
 		store().onList(
 				Arrays.stream(names).map((name) -> StoredObject.parse(name, revision, entry(name)).get()).toList(),
@@ -101,8 +102,10 @@
 			.build();
 	}
 
+	// Another VM reads the store meanwhile, and tells that it is available.
 	private void run(FeedReplica replica, long ms) {
 		for (long end = this.nowMs + ms; this.nowMs < end; this.nowMs += 100) {
+			this.directory.onStoreAvailable(this.nowMs, this.nowMs);
 			this.channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
 			this.channel.runPendingTasks();
 			replica.expire();
@@ -121,13 +124,30 @@
 		FeedReplica replica = createReplica();
 		replica.startReading();
 		answerList(10, "a", "b");
+		run(replica, 500);
 		store().onFailure(new StoreError(StoreError.Kind.REFUSED, "status 503"));
+		run(replica, 9_000);
 		replica.stopReading();
 		replica.onUpdate(removal("a", 10));
 		run(replica, DRAIN_MS);
 		assertEquals(candidates(), List.of("b"));
 	}
 
+	// Guards against an outage that is not noticed, since a watch that was sent before it
+	// is answered in it.
+	@Test
+	void theReplyOfAWaitingWatchShowsOnlyThatTheStoreWasAvailableWhenItWasSent() {
+		FeedReplica replica = createReplica();
+		replica.startReading();
+		answerList(10, "a", "b");
+		store().onRequest();
+		this.nowMs = 1_500;
+		store().onSuccess();
+		this.nowMs = 2_500;
+		answerList(11, "b");
+		assertEquals(candidates(), List.of("a", "b"));
+	}
+
 	/** A source whose calls are answered by the test alone. */
 	private static final class SilentSource implements ObjectSource {
 
