Replies that arrived while a VM stood still are not taken for new ones

A VM that stood still for seconds processes the heartbeat reply that it received before first, and takes the age that it states as that of the moment: an old list of upstreams counts as up to date until the next heartbeat, and a service as one with a single version. Fix: replies are ignored until the source was reviewed again, if that is over 1 s ago. Test: StoreSourceChooserTests.repliesThatArrivedInAPauseSayNothingOfTheTimeAfterIt failed before.

--- a/core/src/main/java/org/tallycart/core/fleet/StoreSourceChooser.java
+++ b/core/src/main/java/org/tallycart/core/fleet/StoreSourceChooser.java
@@ -99,6 +99,12 @@
 	/** Number of VMs in rank that watch the reader role. */
 	private static final int READER_CANDIDATES = 3;
 
+	/**
+	 * Time without a review above which this VM was paused, in milliseconds. Replies that
+	 * have arrived meanwhile are older than their processing tells.
+	 */
+	private static final long PAUSE_THRESHOLD_MS = 1_000;
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final String vm;
@@ -117,6 +123,8 @@
 
 	private long staleSinceMs = NEVER;
 
+	private long reviewedMs = NEVER;
+
 	private long lastProbeMs = NEVER;
 
 	private long probeSuccessMs = NEVER;
@@ -173,14 +181,20 @@
 	}
 
 	/**
-	 * Record the state of a possible source, from its heartbeat reply.
+	 * Record the state of a possible source, from its heartbeat reply. The first replies
+	 * after a pause of this VM are ignored.
 	 * @param name the name of the VM
 	 * @param canRelay whether the VM holds the store's contents
 	 * @param storeAgeMs the age of these contents, in milliseconds
 	 * @param nowMs the current monotonic time, in milliseconds
+	 * @return whether the reply tells that the store was available at that age
 	 */
-	public void onReply(String name, boolean canRelay, long storeAgeMs, long nowMs) {
+	public boolean onReply(String name, boolean canRelay, long storeAgeMs, long nowMs) {
+		if (this.reviewedMs != NEVER && nowMs - this.reviewedMs > PAUSE_THRESHOLD_MS) {
+			return false;
+		}
 		freshness(name).onReply(canRelay, storeAgeMs, MAX_READER_AGE_MS, nowMs);
+		return canRelay;
 	}
 
 	private SourceFreshness freshness(String name) {
@@ -234,6 +248,7 @@
 	 * @return the action that the caller has to take
 	 */
 	public Action review(LeaderView view, boolean serving, boolean vmsLoaded, long nowMs) {
+		this.reviewedMs = nowMs;
 		String preferred = preferredSource(view, nowMs);
 		boolean asLeader = preferred.equals(this.vm) || view.leader(this.relayRole).equals(this.vm);
 		long maxAgeMs = asLeader ? MAX_READER_AGE_MS : MAX_RELAY_AGE_MS;
--- a/core/src/test/java/org/tallycart/core/fleet/StoreSourceChooserTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/StoreSourceChooserTests.java
@@ -6,10 +6,12 @@
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
+import org.tallycart.core.ini.Address;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -126,6 +128,26 @@
 		assertTrue(after <= 60 + 10 * domains, after + " calls after its return");
 	}
 
+	// Guards against a VM that stood still, and takes replies that it had received before
+	// for new ones, and its old list for up to date.
+	@Test
+	void repliesThatArrivedInAPauseSayNothingOfTheTimeAfterIt() {
+		StoreSourceChooser chooser = new StoreSourceChooser("vm-1", "d");
+		LeaderTable table = new LeaderTable("vm-1");
+		table.updateRecords(List.of(new VmRecord("vm-0", new Address("10.0.0.1", 1), "d", 900),
+				new VmRecord("vm-1", new Address("10.0.0.1", 2), "d", 300)));
+		table.setWatchedRoles(chooser.watchedRoles(table, 0));
+		table.dueHeartbeats(0);
+		table.onReply("vm-0", 1, false, 10);
+		assertTrue(chooser.onReply("vm-0", true, 100, 10));
+		assertEquals(chooser.review(table, true, true, 20), StoreSourceChooser.Action.SUBSCRIBE);
+		assertFalse(chooser.onReply("vm-0", true, 100, 5_000));
+		assertEquals(chooser.storeAgeMs(5_000), 5_090);
+		chooser.review(table, true, true, 5_100);
+		assertTrue(chooser.onReply("vm-0", true, 100, 5_200));
+		assertEquals(chooser.storeAgeMs(5_200), 100);
+	}
+
 	/** The reader fails during an outage of the store. */
 	@Test
 	void aReaderThatFailsInAnOutageIsReplacedAfterIt() {
--- a/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
+++ b/node/src/main/java/org/tallycart/node/store/StoreReplicator.java
@@ -451,8 +451,7 @@
 	public void onReply(String vm, NodeBeat reply) {
 		long now = this.loop.nowMs();
 		long ageMs = Integer.toUnsignedLong(reply.getStoreAgeMs());
-		this.chooser.onReply(vm, reply.getPassesOn(), ageMs, now);
-		if (reply.getPassesOn()) {
+		if (this.chooser.onReply(vm, reply.getPassesOn(), ageMs, now)) {
 			this.directory.onStoreAvailable(now - ageMs, now);
 		}
 		if (vm.equals(source())) {
