Streams do not go on at another version at VMs that are out of step

Cause: two rules that hold one VM by itself, but not a group. A VM infers that a stream began at the single version that it knows if one of the four VMs that it asks has no record of it; the ones that have may be those that it can't reach, and the one that answers may be cut off with it. And its list counts as up to date for 2 s after the cut, in which streams may begin at a version that it lacks. Fix: unless all VMs that are asked answer that they have no record, the store has to confirm the single version. Streams begin at a version only 2.5 s after it was listed, while there are upstreams of others: every VM whose list counts as up to date knows it then. SoftwareVersionTests waits for that time, so that its streams begin at both versions.

--- a/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
+++ b/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
@@ -25,8 +25,9 @@
  * <p>
  * Invariants: a lookup has one result, within {@link #LOOKUP_TIMEOUT_MS} and the time
  * that {@link ServedVersions} takes; a version is found only if it began the stream, or
- * if it was the only one that could have. A VM that no other VM answers may be cut off,
- * so the store has to confirm what it infers. Not thread-safe: confined to the event
+ * if it was the only one that could have. A VM that not all other VMs answer may be cut
+ * off, and those that know the stream may be among the others, so the store has to
+ * confirm what it infers. Not thread-safe: confined to the event
  * loop.
  *
  * @since 0.1
@@ -156,7 +157,7 @@
 		if (!lookup.pending.isEmpty() || this.lookups.remove(number) == null) {
 			return;
 		}
-		this.versions.findOnlyVersion(lookup.service, lookup.isUnanswered(), nowMs,
+		this.versions.findOnlyVersion(lookup.service, !lookup.isAnsweredByAll(), nowMs,
 				(version) -> lookup.consumer.accept(version.map((only) -> new StreamOrigin(lookup.service, only)),
 						version.isPresent() ? LookupSource.ONLY_VERSION : LookupSource.NONE));
 	}
@@ -303,8 +304,8 @@
 			this.consumer = consumer;
 		}
 
-		private boolean isUnanswered() {
-			return this.asked > 0 && this.answers == 0;
+		private boolean isAnsweredByAll() {
+			return this.answers == this.asked;
 		}
 
 	}
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -55,6 +55,12 @@
 	 */
 	private static final long VERSION_RETENTION_MS = 600_000;
 
+	/**
+	 * Time after which a software version that is listed is known to all VMs whose lists
+	 * count as up to date, in milliseconds; longer than the age of such a list.
+	 */
+	private static final long VERSION_SPREAD_MS = 2_500;
+
 	private final Map<String, UpstreamState> states = new HashMap<>();
 
 	private final Map<String, UpstreamState> vanished = new HashMap<>();
@@ -67,6 +73,10 @@
 	// When the last upstream of a software version was unlisted, by service and version.
 	private final Map<String, Map<String, Long>> unlistedVersionsMs = new HashMap<>();
 
+	// When a software version was first listed, by service and version; NEVER for those
+	// of the first list.
+	private final Map<String, Map<String, Long>> listedVersionsMs = new HashMap<>();
+
 	private Set<String> evacuatedDomains = Set.of();
 
 	private boolean evacuationsLoaded = true;
@@ -99,12 +109,12 @@
 	 * @param nowMs the current monotonic time, in milliseconds
 	 */
 	public void replace(Collection<UpstreamEntry> entries, long nowMs) {
-		this.loaded = true;
 		Set<String> present = new HashSet<>();
 		for (UpstreamEntry entry : entries) {
 			present.add(entry.id());
 			put(entry, nowMs);
 		}
+		this.loaded = true;
 		for (String id : new ArrayList<>(this.states.keySet())) {
 			if (!present.contains(id)) {
 				remove(id, nowMs);
@@ -121,6 +131,8 @@
 	 */
 	public void put(UpstreamEntry entry, long nowMs) {
 		this.byService.clear();
+		this.listedVersionsMs.computeIfAbsent(entry.service(), (key) -> new HashMap<>())
+			.putIfAbsent(entry.softwareVersion(), this.loaded ? nowMs : NEVER);
 		if (entry.draining()) {
 			this.unavailability.onDraining(entry.incarnation(), nowMs);
 		}
@@ -272,6 +284,8 @@
 	public Set<String> expireVanished(long nowMs) {
 		this.unlistedVersionsMs.values()
 			.forEach((versions) -> versions.values().removeIf((at) -> nowMs - at > VERSION_RETENTION_MS));
+		this.listedVersionsMs.forEach((service, versions) -> versions.keySet()
+			.retainAll(softwareVersionsSince(service, nowMs - VERSION_RETENTION_MS)));
 		if (!isListTrusted(nowMs) || this.vanished.isEmpty()) {
 			return Set.of();
 		}
@@ -317,6 +331,23 @@
 		return usable.isEmpty() ? CandidateList.without(all, (state) -> state.acceptsInMs(nowMs) > 0) : usable;
 	}
 
+	/**
+	 * Return the upstreams of a service at which a stream may begin. A VM whose list lacks
+	 * a software version may take the stream for one of another version when its caller
+	 * resumes it there, so versions that other VMs may not know yet are left out, unless
+	 * there are no others.
+	 * @param service the service
+	 * @param nowMs the current monotonic time, in milliseconds
+	 * @return the upstreams, as those of {@link #candidates(String, long)}
+	 */
+	public List<UpstreamState> candidatesForNewStreams(String service, long nowMs) {
+		List<UpstreamState> all = candidates(service, nowMs);
+		Map<String, Long> listedMs = this.listedVersionsMs.getOrDefault(service, Map.of());
+		List<UpstreamState> known = CandidateList.without(all,
+				(state) -> nowMs - listedMs.getOrDefault(state.entry().softwareVersion(), NEVER) < VERSION_SPREAD_MS);
+		return known.isEmpty() ? all : known;
+	}
+
 	// Includes upstreams that are draining or backing off.
 	private List<UpstreamState> notEvacuated(String service, Optional<String> softwareVersion) {
 		if (!this.evacuationsLoaded) {
--- a/core/src/test/java/org/tallycart/core/stream/StreamOriginFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/stream/StreamOriginFleetTests.java
@@ -133,6 +133,29 @@
 		assertTrue(wentOn >= WENT_ON_SHARE * resumed, wentOn + " of " + resumed + " went on");
 	}
 
+	@DataProvider
+	static Object[][] cutVms() {
+		return new Object[][] { { 6, 1 }, { 6, 2 }, { 60, 1 }, { 60, 20 }, { 300, 1 }, { 300, 100 } };
+	}
+
+	// Guards against streams that began at a new version, and go on at another one at
+	// VMs that were cut off before they could learn of the new one.
+	@Test(dataProvider = "cutVms")
+	void streamsDoNotGoOnAtAnotherVersionAtVmsThatAreOutOfStep(int vms, int cut) {
+		for (long seed = 0; seed < 5 * SEEDS; seed++) {
+			StreamOriginSimulation fleet = settledFleet(vms, seed);
+			List<StreamOriginSimulation.Vm> all = fleet.sample(vms);
+			fleet.fallBehind(all.subList(0, cut), CUT_MS);
+			fleet.list("v2", 4);
+			for (int i = 1; i < 5; i++) {
+				StreamOriginSimulation.Vm killed = all.get(vms - i);
+				fleet.after(400 * i, () -> fleet.kill(List.of(killed)));
+			}
+			fleet.run(20_000);
+			assertEquals(fleet.mixed, 0, "seed " + seed);
+		}
+	}
+
 	@DataProvider
 	static Object[][] losses() {
 		return new Object[][] { { 6, 0 }, { 6, 1 }, { 60, 0 }, { 60, 1 }, { 300, 0 }, { 300, 1 } };
--- a/core/src/test/java/org/tallycart/core/stream/StreamOriginRegistryTests.java
+++ b/core/src/test/java/org/tallycart/core/stream/StreamOriginRegistryTests.java
@@ -152,6 +152,17 @@
 		assertEquals(this.results, List.of("? " + LookupSource.NONE, "v1 " + LookupSource.ONLY_VERSION));
 	}
 
+	// Guards against a VM that is cut off from those that know the stream, and is
+	// answered by one that has just started.
+	@Test
+	void withoutAllAnswersTheStoreHasToConfirmTheOnlyVersion() {
+		this.onlyVersion = Optional.of("v1");
+		find("r");
+		this.registry.onReply(this.askedVms.get(0), 1, Optional.empty(), 1);
+		this.registry.expireLookups(StreamOriginRegistry.LOOKUP_TIMEOUT_MS);
+		assertEquals(this.results, List.of("? " + LookupSource.NONE));
+	}
+
 	@Test
 	void anOriginIsKeptForItsTimeOnly() {
 		this.registry.onOrigins(List.of(new BegunStream("r", ORIGIN, 500)), 0);
--- a/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/UpstreamDirectoryTests.java
@@ -55,6 +55,34 @@
 		assertEquals(this.directory.acceptsInMs("s", Optional.of("v3"), 10), UnavailabilityRegistry.NEVER);
 	}
 
+	// Guards against a stream that begins at a version of which another VM does not know
+	// yet, and goes on there at a version that it knows.
+	@Test
+	void streamsBeginAtVersionsThatAllVmsKnow() {
+		this.directory.put(UpstreamEntry.builder("c", "s").softwareVersion("v2").build(), 10_000);
+		assertEquals(idsForNewStreams(10_000), List.of("a", "b"));
+		assertEquals(idsForNewStreams(12_499), List.of("a", "b"));
+		assertEquals(idsForNewStreams(12_500), List.of("a", "b", "c"));
+		assertEquals(candidates(10_000), List.of("a", "b", "c"));
+	}
+
+	// Guards against callers that are refused while the only upstreams are new.
+	@Test
+	void streamsBeginAtANewVersionIfThereIsNoOther() {
+		this.directory.put(UpstreamEntry.builder("c", "s").softwareVersion("v2").build(), 10_000);
+		this.directory.put(entry("a", true), 10_100);
+		this.directory.remove("b", 10_100);
+		assertEquals(idsForNewStreams(10_200), List.of("c"));
+	}
+
+	private List<String> idsForNewStreams(long nowMs) {
+		return this.directory.candidatesForNewStreams("s", nowMs)
+			.stream()
+			.map((state) -> state.entry().id())
+			.sorted()
+			.toList();
+	}
+
 	@Test
 	void drainingAndRemovedUpstreamsAreNoCandidates() {
 		this.directory.put(entry("a", true), 50);
--- a/node/src/main/java/org/tallycart/node/request/CandidateUpstreams.java
+++ b/node/src/main/java/org/tallycart/node/request/CandidateUpstreams.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.tallycart.core.serving.RequestKind;
 import org.tallycart.core.upstream.UnavailabilityRegistry;
 import org.tallycart.core.upstream.UpstreamState;
 
@@ -20,11 +21,14 @@
 
 	private final String service;
 
+	private final boolean streaming;
+
 	private Optional<String> requiredVersion;
 
 	CandidateUpstreams(ServingContext context, RequestPlan plan) {
 		this.context = context;
 		this.service = plan.service();
+		this.streaming = plan.route().kind() == RequestKind.STREAMING;
 		this.requiredVersion = plan.softwareVersion();
 	}
 
@@ -53,7 +57,10 @@
 	 * @return the upstreams; empty if there is none; must not be modified
 	 */
 	List<UpstreamState> evenIfCold() {
-		return this.context.directory().candidates(this.service, this.requiredVersion, this.context.loop().nowMs());
+		long nowMs = this.context.loop().nowMs();
+		return (this.streaming && this.requiredVersion.isEmpty())
+				? this.context.directory().candidatesForNewStreams(this.service, nowMs)
+				: this.context.directory().candidates(this.service, this.requiredVersion, nowMs);
 	}
 
 	/**
--- a/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
+++ b/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
@@ -8,6 +8,7 @@
 
 import org.tallycart.platform.standin.UpstreamStandin;
 import org.tallycart.platform.standin.UpstreamStandin.Fault;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -25,6 +26,9 @@
 
 	private static final List<String> VERSIONS = List.of("v1", "v2");
 
+	/** Time after which streams begin at a version that is new. */
+	private static final long VERSION_SPREAD_MS = 2_500;
+
 	private static final String LAST_CHUNK = "0\r\n\r\n";
 
 	@Override
@@ -45,6 +49,7 @@
 		}
 		this.nodes
 			.forEach((node) -> await(() -> metrics(node).contains("\nupstreams " + (double) this.upstreams.size())));
+		pause(VERSION_SPREAD_MS);
 	}
 
 	private void addEngine(String id, String version) {
@@ -184,6 +189,38 @@
 		assertEquals(runs("again"), 0);
 	}
 
+	// The versions that serve after the loss, and whether the others leave before it.
+	@DataProvider
+	static Object[][] versionsAfterALoss() {
+		return new Object[][] { { Set.of("v1", "v2"), true }, { Set.of("v2"), true }, { Set.of("v2"), false },
+				{ Set.of("v1"), true }, { Set.of("v1"), false } };
+	}
+
+	// Guards against streams that are joined from two versions, since the VMs that knew
+	// where they began were all lost in a release.
+	@Test(dataProvider = "versionsAfterALoss")
+	void noStreamGoesOnAtAnotherVersionAfterTheLossOfAllVms(Set<String> versions, boolean leaveBefore) {
+		startSecondVersion();
+		List<String> streams = beginBrokenStreams(this.nodes.get(0));
+		if (leaveBefore) {
+			replaceEngines(versions);
+		}
+		this.nodes.forEach(Node::close);
+		this.nodes.clear();
+		if (!leaveBefore) {
+			replaceEngines(versions);
+		}
+		for (int i = 0; i < vms(); i++) {
+			this.nodes.add(Node.start(settings("vm-" + i), 0).get());
+		}
+		for (Node node : this.nodes) {
+			resume(node, streams);
+			await(() -> ready(node));
+			resume(node, streams);
+		}
+		assertOneVersionEach(streams);
+	}
+
 	// Guards against streams of healthy fleets being lost with all VMs, which are back
 	// at once.
 	@Test
