--- a/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
+++ b/core/src/main/java/org/tallycart/core/stream/StreamOriginRegistry.java
@@ -27,8 +27,7 @@
  * that {@link ServedVersions} takes; a version is found only if it began the stream, or
  * if it was the only one that could have. A VM that not all other VMs answer may be cut
  * off, and those that know the stream may be among the others, so the store has to
- * confirm what it infers. Not thread-safe: confined to the event
- * loop.
+ * confirm what it infers. Not thread-safe: confined to the event loop.
  *
  * @since 0.1
  */
--- a/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
+++ b/core/src/main/java/org/tallycart/core/upstream/UpstreamDirectory.java
@@ -332,10 +332,10 @@
 	}
 
 	/**
-	 * Return the upstreams of a service at which a stream may begin. A VM whose list lacks
-	 * a software version may take the stream for one of another version when its caller
-	 * resumes it there, so versions that other VMs may not know yet are left out, unless
-	 * there are no others.
+	 * Return the upstreams of a service at which a stream may begin. A VM whose list
+	 * lacks a software version may take the stream for one of another version when its
+	 * caller resumes it there, so versions that other VMs may not know yet are left out,
+	 * unless there are no others.
 	 * @param service the service
 	 * @param nowMs the current monotonic time, in milliseconds
 	 * @return the upstreams, as those of {@link #candidates(String, long)}
--- a/core/src/test/java/org/tallycart/core/fleet/StoreReaderSimulation.java
+++ b/core/src/test/java/org/tallycart/core/fleet/StoreReaderSimulation.java
@@ -42,6 +42,8 @@
 
 	private static final UpstreamEntry UPSTREAM = UpstreamEntry.builder("u", "s").build();
 
+	private static final UpstreamEntry DRAINING_UPSTREAM = UpstreamEntry.builder("u", "s").draining(true).build();
+
 	/** Cost of a store probe, in calls. */
 	private static final double PROBE_CALLS = 0.1;
 
@@ -66,6 +68,8 @@
 	// Version up to which the store lists the upstream.
 	private long listedUntil = Long.MAX_VALUE;
 
+	private boolean draining;
+
 	private double calls;
 
 	/**
@@ -118,6 +122,12 @@
 		change();
 	}
 
+	// The entry of the upstream states that it drains.
+	void drainUpstream() {
+		this.draining = true;
+		change();
+	}
+
 	// The entry of the upstream is back.
 	void restoreUpstream() {
 		this.listedUntil = Long.MAX_VALUE;
@@ -247,7 +257,8 @@
 				this.directory.remove(UPSTREAM.id(), StoreReaderSimulation.this.nowMs);
 			}
 			else {
-				this.directory.put(UPSTREAM, StoreReaderSimulation.this.nowMs);
+				this.directory.put(StoreReaderSimulation.this.draining ? DRAINING_UPSTREAM : UPSTREAM,
+						StoreReaderSimulation.this.nowMs);
 			}
 		}
 
--- a/core/src/test/java/org/tallycart/core/fleet/UpstreamRemovalFleetTests.java
+++ b/core/src/test/java/org/tallycart/core/fleet/UpstreamRemovalFleetTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -43,6 +44,16 @@
 	// store, and others, lose power.
 	@Test(dataProvider = "fleets")
 	void aRemovedUpstreamIsDroppedInTimeWhileHalfOfTheVmsAreLost(int vms, int domains, long seed) {
+		assertDroppedInTime(vms, domains, seed, StoreReaderSimulation::removeUpstream);
+	}
+
+	// Guards against the same if the upstream states in its entry that it leaves.
+	@Test(dataProvider = "fleets")
+	void aDrainingUpstreamIsDroppedInTimeWhileHalfOfTheVmsAreLost(int vms, int domains, long seed) {
+		assertDroppedInTime(vms, domains, seed, StoreReaderSimulation::drainUpstream);
+	}
+
+	private static void assertDroppedInTime(int vms, int domains, long seed, Consumer<StoreReaderSimulation> leave) {
 		StoreReaderSimulation fleet = settled(vms, domains, seed);
 		Random random = new Random(seed);
 		List<String> names = new ArrayList<>(fleet.vms.keySet());
@@ -51,7 +62,7 @@
 		fleet.down.add(fleet.reader());
 		fleet.down.addAll(names.subList(0, vms / 2 - 1));
 		fleet.run(random.nextInt(1_500));
-		fleet.removeUpstream();
+		leave.accept(fleet);
 		fleet.run(DRAIN_MS);
 		assertEquals(fleet.sendingVms(), Set.of());
 	}
