--- a/core/src/main/java/org/tallycart/core/fleet/StoreSourceChooser.java
+++ b/core/src/main/java/org/tallycart/core/fleet/StoreSourceChooser.java
@@ -287,15 +287,6 @@
 		return Action.PROBE;
 	}
 
-	/**
-	 * Return whether this VM's preferred source is fresh.
-	 * @return false while this VM has to read the store, or waits for the store or a
-	 * source
-	 */
-	public boolean hasFreshSource() {
-		return this.staleSinceMs == NEVER;
-	}
-
 	private Action subscribeIfSettled(String preferred, boolean serving, long maxAgeMs, long nowMs) {
 		long settleMs = isReadingStore() ? SETTLE_MS : 0;
 		boolean settled = freshness(preferred).freshForMs(maxAgeMs, nowMs) >= settleMs
--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -296,14 +296,6 @@
 		return admitted;
 	}
 
-	/**
-	 * Return the name of this VM.
-	 * @return the name
-	 */
-	String vm() {
-		return this.settings.vm();
-	}
-
 	/**
 	 * Return the port for callers.
 	 * @return the port; 0 if the process does not listen yet
--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -142,15 +142,6 @@
 		});
 	}
 
-	/**
-	 * Return the address at which a VM calls the store.
-	 * @param vm the name of the VM
-	 * @return the address
-	 */
-	Address storeAddress(String vm) {
-		return this.store.address();
-	}
-
 	/**
 	 * Return the interval at which upstreams renew their entries.
 	 * @return the interval, in milliseconds
@@ -161,7 +152,7 @@
 
 	NodeSettings settings(String vm) {
 		Address any = new Address("127.0.0.1", 0);
-		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, storeAddress(vm),
+		return new NodeSettings(vm, "127.0.0.1", "d", any, any, 0, 750, Integer.MAX_VALUE, this.store.address(),
 				upstreamHeartbeatMs(), new NodeSettings.PlatformLimits(4_000, 0.2, 10_000, 50), true);
 	}
 
--- a/node/src/test/java/org/tallycart/node/UpstreamRemovalTests.java
+++ b/node/src/test/java/org/tallycart/node/UpstreamRemovalTests.java
@@ -1,12 +1,8 @@
 package org.tallycart.node;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.Stream;
 
-import org.tallycart.core.ini.Address;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -26,23 +22,11 @@
 
 	private static final String STAGED = GENERATION + "X-Tallycart-Pieces: 4,2\r\nX-Tallycart-Piece-Key: k\r\n";
 
-	private final Map<String, Address> entrances = new HashMap<>();
-
 	@Override
 	int vms() {
 		return 4;
 	}
 
-	@Override
-	Address storeAddress(String vm) {
-		return this.entrances.computeIfAbsent(vm, (key) -> this.store.openEntrance());
-	}
-
-	@AfterMethod
-	void reset() {
-		this.entrances.clear();
-	}
-
 	@BeforeMethod(dependsOnMethods = "begin")
 	void settle() {
 		awaitReader();
