Grants and denials of repeats log what the VM's share of the budget is made of

What operators saw: TC6024 without any figure, and no line for a repeat that was granted, so that three explanations of repeats beyond the budget looked alike. TC6056 and TC6024 tell the repeats that count, how many are allowed, for how many requests, and by how many VMs the slack is divided.

--- /dev/null
+++ b/core/src/main/java/org/tallycart/core/upstream/RetryUsage.java
@@ -0,0 +1,15 @@
+package org.tallycart.core.upstream;
+
+/**
+ * How much of its share of a retry budget a VM uses, within the window.
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param retries retries that count
+ * @param allowed retries that are allowed
+ * @param arrivals first attempts that count
+ * @param sharingVms the number of VMs by which the slack is divided
+ * @since 0.1
+ */
+public record RetryUsage(int retries, double allowed, int arrivals, int sharingVms) {
+}
--- a/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
+++ b/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
@@ -77,14 +77,29 @@
 	public boolean tryAcquire(int sharingVms, long nowMs) {
 		expire(this.arrivals, nowMs);
 		expire(this.retries, nowMs);
-		double allowed = this.ratio * this.arrivals.size() + this.slack / Math.max(sharingVms, 1);
-		if (this.retries.size() + 1 > allowed) {
+		if (this.retries.size() + 1 > allowed(sharingVms)) {
 			return false;
 		}
 		this.retries.addLast(nowMs);
 		return true;
 	}
 
+	private double allowed(int sharingVms) {
+		return this.ratio * this.arrivals.size() + this.slack / Math.max(sharingVms, 1);
+	}
+
+	/**
+	 * Return how much of the budget is used.
+	 * @param sharingVms the number of VMs that share the slack
+	 * @param nowMs the current monotonic time, in milliseconds
+	 * @return the usage
+	 */
+	public RetryUsage usage(int sharingVms, long nowMs) {
+		expire(this.arrivals, nowMs);
+		expire(this.retries, nowMs);
+		return new RetryUsage(this.retries.size(), allowed(sharingVms), this.arrivals.size(), sharingVms);
+	}
+
 	/**
 	 * Return a retry that was acquired and is not made.
 	 * @param acquiredMs when it was acquired, or just after, in monotonic time
--- a/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/tallycart/node/metrics/NodeMetrics.java
@@ -165,6 +165,11 @@
 		this.registry.counter("requests.stopped").inc();
 	}
 
+	/** Count a retry that the retry budget allowed. */
+	public void onRetryGranted() {
+		this.registry.counter("sends.repeats_granted").inc();
+	}
+
 	/** Count a retry that the retry budget denied. */
 	public void onRetryDenied() {
 		this.registry.counter("sends.repeats_denied").inc();
--- a/node/src/main/java/org/tallycart/node/request/AttemptLog.java
+++ b/node/src/main/java/org/tallycart/node/request/AttemptLog.java
@@ -4,6 +4,7 @@
 
 import org.tallycart.core.serving.LoadReport;
 import org.tallycart.core.serving.Prompt;
+import org.tallycart.core.upstream.RetryUsage;
 import org.tallycart.core.upstream.UpstreamChoice;
 import org.tallycart.core.upstream.UpstreamState;
 import org.tallycart.runtime.event.EventCode;
@@ -81,9 +82,21 @@
 		log(EventCode.UPSTREAM_SILENT, "sought", "abandoned", "reason", reason);
 	}
 
+	void onRetryGranted() {
+		this.context.metrics().onRetryGranted();
+		logRetryUsage(EventCode.REPEAT_GRANTED);
+	}
+
 	void onRetryDenied() {
 		this.context.metrics().onRetryDenied();
-		log(EventCode.REPEAT_DENIED, "service", this.plan.service());
+		logRetryUsage(EventCode.REPEAT_DENIED);
+	}
+
+	private void logRetryUsage(EventCode code) {
+		RetryUsage usage = this.context.retryBudgets().usage(this.plan.service());
+		log(code, "service", this.plan.service(), "repeats", usage.retries(), "allowed",
+				Math.round(usage.allowed() * PERCENT) / PERCENT, "requests", usage.arrivals(), "sharing_vms",
+				usage.sharingVms());
 	}
 
 	void onStopped(String progress, int sends, Optional<String> afterEvent, String told) {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -613,7 +613,10 @@
 		}
 		boolean granted = this.context.retryBudgets().tryAcquire(this.plan.service());
 		this.attemptReason = AttemptReason.RETRY;
-		if (!granted) {
+		if (granted) {
+			this.log.onRetryGranted();
+		}
+		else {
 			this.log.onRetryDenied();
 		}
 		return granted;
--- a/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
+++ b/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
@@ -5,6 +5,7 @@
 import java.util.function.IntSupplier;
 
 import org.tallycart.core.serving.NodeSettings;
+import org.tallycart.core.upstream.RetryUsage;
 import org.tallycart.core.upstream.WindowedRetryBudget;
 import org.tallycart.node.EventLoop;
 
@@ -56,6 +57,10 @@
 		return budget(service).tryAcquire(this.vmCount.getAsInt(), this.loop.nowMs());
 	}
 
+	RetryUsage usage(String service) {
+		return budget(service).usage(this.vmCount.getAsInt(), this.loop.nowMs());
+	}
+
 	void refund(String service, long acquiredMs) {
 		budget(service).refund(acquiredMs);
 	}
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventCode.java
@@ -142,7 +142,8 @@
 	/** A caller's message was rejected. */
 	CONNECTION_REFUSED(6023, Level.INFO, "A caller's message was refused by its framing, size or time."),
 	/** A retry was denied by the retry budget. */
-	REPEAT_DENIED(6024, Level.INFO, "A request was not sent again, since the budget of repeats is spent."),
+	REPEAT_DENIED(6024, Level.INFO,
+			"A request was not sent again, since the budget of repeats is spent; the detail holds the same as that of a repeat that is granted."),
 	/** Log lines were dropped to bound the log volume. */
 	LINES_LEFT_OUT(6025, Level.WARN, "Log lines were left out to bound their volume; the detail holds how many."),
 	/** The source of the replicated state changed. */
@@ -234,6 +235,9 @@
 	/** The grace period of upstreams whose entries vanished is over. */
 	UPSTREAMS_EXPIRED(6055, Level.INFO,
 			"The entries of retained upstreams have not returned, and the upstreams are no longer used; the detail holds their number and some of their ids."),
+	/** The retry budget allows a request to be sent again. */
+	REPEAT_GRANTED(6056, Level.INFO,
+			"The budget of repeats allows a request to be sent again; the detail holds the service, how many repeats of this VM count in the window, how many are allowed, for how many requests, and by how many VMs the slack is divided."),
 	/** Requests of a workspace were deferred or rejected by a stage pool. */
 	POOL_OVERLOADED(6060, Level.INFO,
 			"A stage pool could not serve all requests of a workspace on time; the detail holds the workspace's share of what was started lately, and how many of its requests in the last second were deferred, shed, expired, and recognised as returned."),
