A retry counts until a window after it is sent

Upstreams could see: repeats of two windows within one (BUDGET), when some had waited. Cause: a retry was counted when it was granted, and forgotten a window later, although it may be sent only after new stage work (seconds) or a permit. The check that a retry granted at 100 ms and not sent still counts at 10,200 ms failed on the former class. Fix: a retry is held from its grant, and counts until a window after its sending; RequestRetries holds at most one for a request and returns it if it is not sent, also when the request ends while it waits. The same for hedges. Tests: WindowedRetryBudgetTests, HedgeBudgetTests, RetryBudgetsTests, HedgeRequestTests, SilentUpstreamsFleetTests, GoneResultsTests pass.

--- a/core/src/main/java/org/tallycart/core/upstream/HedgeBudget.java
+++ b/core/src/main/java/org/tallycart/core/upstream/HedgeBudget.java
@@ -62,7 +62,7 @@
 	}
 
 	/**
-	 * Acquire a hedge and a retry, or neither.
+	 * Acquire a hedge and a retry, or neither. Both have to be sent or returned.
 	 * @param retries the retry budget of the service
 	 * @param vms the number of VMs as this VM knows it; 0 if it does not know
 	 * @param nowMs the current monotonic time, in milliseconds
@@ -73,19 +73,27 @@
 			return Optional.of(HedgeDenial.HEDGE_SHARE);
 		}
 		if (!retries.tryAcquire(vms, nowMs)) {
-			this.hedges.refund(nowMs);
+			this.hedges.refund();
 			return Optional.of(HedgeDenial.RETRY_BUDGET);
 		}
 		return Optional.empty();
 	}
 
 	/**
-	 * Return a hedge that was acquired and is not made. Its retry is returned to the
+	 * Record that a hedge that was acquired is sent. Its retry is recorded at the retry
+	 * budget.
+	 * @param nowMs the current monotonic time, in milliseconds
+	 */
+	public void onSent(long nowMs) {
+		this.hedges.onSent(nowMs);
+	}
+
+	/**
+	 * Return a hedge that was acquired and is not sent. Its retry is returned to the
 	 * retry budget.
-	 * @param acquiredMs when it was acquired, or just after, in monotonic time
 	 */
-	public void refund(long acquiredMs) {
-		this.hedges.refund(acquiredMs);
+	public void refund() {
+		this.hedges.refund();
 	}
 
 }
--- a/core/src/main/java/org/tallycart/core/upstream/RetryUsage.java
+++ b/core/src/main/java/org/tallycart/core/upstream/RetryUsage.java
@@ -5,7 +5,7 @@
  * <p>
  * Immutable and thread-safe.
  *
- * @param retries retries that count
+ * @param retries retries that count, sent or not sent yet
  * @param allowed retries that are allowed
  * @param arrivals first attempts that count
  * @param sharingVms the number of VMs by which the slack is divided;
--- a/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
+++ b/core/src/main/java/org/tallycart/core/upstream/WindowedRetryBudget.java
@@ -2,15 +2,20 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Iterator;
+
+import org.tallycart.core.outcome.InvariantViolation;
 
 /**
  * This VM's share of the retry budget of all VMs, over a sliding window: a fraction of
  * its own arrivals, and an equal share of a slack that is divided among the VMs, see
  * {@link SharingVms}.
  * <p>
- * Invariant: no window grants more retries than the budget, also when processes follow
- * each other on a VM or the limits change. Not thread-safe: belongs to one event loop.
+ * A retry counts from the time at which it is acquired until a window after it is sent,
+ * since it may have to wait before it can be sent.
+ * <p>
+ * Invariant: no more retries are sent in any window than the budget allows, also when
+ * processes follow each other on a VM or the limits change. Not thread-safe: belongs to
+ * one event loop.
  *
  * @since 0.1
  */
@@ -25,7 +30,9 @@
 
 	private final Deque<Long> arrivals = new ArrayDeque<>();
 
-	private final Deque<Long> retries = new ArrayDeque<>();
+	private final Deque<Long> sentRetries = new ArrayDeque<>();
+
+	private int unsentRetries;
 
 	private double ratio;
 
@@ -104,7 +111,7 @@
 	}
 
 	/**
-	 * Acquire a retry, if the budget allows one.
+	 * Acquire a retry, if the budget allows one. It has to be sent or returned.
 	 * @param vms the number of VMs as this VM knows it; 0 if it does not know
 	 * @param nowMs the current monotonic time, in milliseconds
 	 * @return true if the request may be retried
@@ -114,10 +121,19 @@
 		if (usage.retries() + 1 > usage.allowed()) {
 			return false;
 		}
-		this.retries.addLast(nowMs);
+		this.unsentRetries++;
 		return true;
 	}
 
+	/**
+	 * Record that a retry that was acquired is sent.
+	 * @param nowMs the current monotonic time, in milliseconds
+	 */
+	public void onSent(long nowMs) {
+		refund();
+		this.sentRetries.addLast(nowMs);
+	}
+
 	/**
 	 * Return how much of the budget is used.
 	 * @param vms the number of VMs as this VM knows it; 0 if it does not know
@@ -126,25 +142,17 @@
 	 */
 	public RetryUsage usage(int vms, long nowMs) {
 		expire(this.arrivals, nowMs);
-		expire(this.retries, nowMs);
+		expire(this.sentRetries, nowMs);
 		int divisor = this.sharingVms.divisor(vms, nowMs);
 		double slackShare = (divisor == SharingVms.NO_SHARE) ? 0 : this.slack / divisor;
-		return new RetryUsage(this.retries.size(), this.ratio * this.arrivals.size() + slackShare, this.arrivals.size(),
-				divisor);
+		return new RetryUsage(this.sentRetries.size() + this.unsentRetries,
+				this.ratio * this.arrivals.size() + slackShare, this.arrivals.size(), divisor);
 	}
 
-	/**
-	 * Return a retry that was acquired and is not made.
-	 * @param acquiredMs when it was acquired, or just after, in monotonic time
-	 */
-	public void refund(long acquiredMs) {
-		Iterator<Long> latestFirst = this.retries.descendingIterator();
-		while (latestFirst.hasNext()) {
-			if (latestFirst.next() <= acquiredMs) {
-				latestFirst.remove();
-				return;
-			}
-		}
+	/** Return a retry that was acquired and is not sent. */
+	public void refund() {
+		InvariantViolation.check(this.unsentRetries > 0, "no retry was acquired");
+		this.unsentRetries--;
 	}
 
 	private void expire(Deque<Long> times, long nowMs) {
--- a/core/src/test/java/org/tallycart/core/attempt/HedgedServiceSimulation.java
+++ b/core/src/test/java/org/tallycart/core/attempt/HedgedServiceSimulation.java
@@ -378,6 +378,8 @@
 					? Optional.of(HedgeDenial.NO_FREE_SLOTS)
 					: this.vm.budget.tryAcquire(this.vm.retries, HedgedServiceSimulation.this.vms.size(), now);
 			if (denial.isEmpty()) {
+				this.vm.budget.onSent(now);
+				this.vm.retries.onSent(now);
 				HedgedServiceSimulation.this.hedges += this.measured ? 1 : 0;
 				this.attempts.beginRace();
 				send(HedgeTargets.inOtherDomain(free, slow.state.entry().failureDomain()), true);
--- a/core/src/test/java/org/tallycart/core/attempt/SimulatedRequest.java
+++ b/core/src/test/java/org/tallycart/core/attempt/SimulatedRequest.java
@@ -69,7 +69,7 @@
 
 	private int uncountedRetries;
 
-	private long seekingSinceMs;
+	private boolean holdsRetry;
 
 	private boolean arrivalCounted;
 
@@ -235,6 +235,10 @@
 			this.arrivalCounted = true;
 			budget().onArrival(now());
 		}
+		if (this.holdsRetry) {
+			this.holdsRetry = false;
+			budget().onSent(now());
+		}
 		SimulatedAttempt attempt = new SimulatedAttempt(this.fleet, this, choice.upstream());
 		if (hedge && this.vm.isWaitedFor(attempt.upstream)) {
 			this.fleet.recorder.violation(this, "a hedge goes to " + attempt.upstream.id + ", which is silent");
@@ -262,7 +266,6 @@
 			if (replacesHedge) {
 				cancelHedge();
 			}
-			this.seekingSinceMs = now();
 			this.attempts.beginSeeking();
 			retry();
 		}
@@ -278,8 +281,17 @@
 	}
 
 	private boolean tryAcquireRetry() {
-		return this.attemptCount < MAX_ATTEMPTS && this.deadlineMs - now() >= MIN_ATTEMPT_MS
+		releaseRetry();
+		this.holdsRetry = this.attemptCount < MAX_ATTEMPTS && this.deadlineMs - now() >= MIN_ATTEMPT_MS
 				&& budget().tryAcquire(this.fleet.vms.size(), now());
+		return this.holdsRetry;
+	}
+
+	private void releaseRetry() {
+		if (this.holdsRetry) {
+			this.holdsRetry = false;
+			budget().refund();
+		}
 	}
 
 	void onHeard(SimulatedAttempt attempt) {
@@ -290,7 +302,7 @@
 
 	private void abandonHedge() {
 		if (this.attempts.stopSeeking()) {
-			budget().refund(this.seekingSinceMs);
+			releaseRetry();
 			if (this.pending != null) {
 				withdrawStage();
 				this.resultsReleased = true;
@@ -401,6 +413,7 @@
 			return;
 		}
 		this.finished = true;
+		releaseRetry();
 		this.vm.inFlight.remove(this);
 		this.attempts.current().ifPresent(SimulatedAttempt::cancel);
 		this.attempts.hedge().ifPresent(SimulatedAttempt::cancel);
--- a/core/src/test/java/org/tallycart/core/upstream/HedgeBudgetTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/HedgeBudgetTests.java
@@ -85,6 +85,8 @@
 					arrivals.add(now);
 				}
 				else if (budgets[vm].tryAcquire(retries[vm], counts.known(vms, now, random), now).isEmpty()) {
+					budgets[vm].onSent(now);
+					retries[vm].onSent(now);
 					hedges.add(now);
 				}
 			}
@@ -114,7 +116,7 @@
 		assertEquals(budget.tryAcquire(one, 1, 200), Optional.of(HedgeDenial.RETRY_BUDGET));
 		assertEquals(budget.tryAcquire(retries(), 1, 200), Optional.empty());
 		assertEquals(budget.tryAcquire(retries(), 1, 200), Optional.of(HedgeDenial.HEDGE_SHARE));
-		budget.refund(200);
+		budget.refund();
 		assertEquals(budget.tryAcquire(retries(), 1, 200), Optional.empty());
 	}
 
--- a/core/src/test/java/org/tallycart/core/upstream/WindowedRetryBudgetTests.java
+++ b/core/src/test/java/org/tallycart/core/upstream/WindowedRetryBudgetTests.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.Random;
 
+import org.tallycart.core.outcome.InvariantViolation;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -25,6 +27,7 @@
 		}
 		int granted = 0;
 		while (budget.tryAcquire(5, 200)) {
+			budget.onSent(200);
 			granted++;
 		}
 		assertEquals(granted, 24, "0.8 x (0.2 x 100 + 50 / 5)");
@@ -38,10 +41,25 @@
 		assertTrue(budget.tryAcquire(1, 100));
 		assertTrue(budget.tryAcquire(1, 200));
 		assertFalse(budget.tryAcquire(1, 300));
-		budget.refund(101);
+		budget.refund();
 		assertTrue(budget.tryAcquire(1, 300));
-		budget.refund(100);
+		budget.onSent(300);
+		budget.onSent(300);
 		assertFalse(budget.tryAcquire(1, 400));
+		assertThrows(InvariantViolation.class, budget::refund);
+	}
+
+	// Guards against retries that wait, for stage work or a permit, and reach the
+	// upstream
+	// in the same window as others that were acquired a window later.
+	@Test
+	void aRetryCountsFromItsGrantUntilAWindowAfterItIsSent() {
+		WindowedRetryBudget budget = new WindowedRetryBudget(0, WINDOW_MS, 1 / 0.8, -WINDOW_MS);
+		assertTrue(budget.tryAcquire(1, 100));
+		assertFalse(budget.tryAcquire(1, 200 + WINDOW_MS));
+		budget.onSent(300 + WINDOW_MS);
+		assertFalse(budget.tryAcquire(1, 300 + 2 * WINDOW_MS));
+		assertTrue(budget.tryAcquire(1, 301 + 2 * WINDOW_MS));
 	}
 
 	// Guards against VMs that take a share each while none knows how many there are.
@@ -57,6 +75,7 @@
 	void aLongerWindowGrantsNoSlackAgain() {
 		WindowedRetryBudget budget = new WindowedRetryBudget(0, WINDOW_MS, 1 / 0.8, -WINDOW_MS);
 		assertTrue(budget.tryAcquire(1, 100));
+		budget.onSent(100);
 		long changedMs = 200 + WINDOW_MS;
 		budget.onArrival(changedMs);
 		assertEquals(budget.usage(1, changedMs).retries(), 0);
@@ -82,6 +101,7 @@
 				arrivals.add(now);
 			}
 			if (random.nextInt(2) == 0 && budget.tryAcquire(vms, now)) {
+				budget.onSent(now);
 				retries.add(now);
 			}
 		}
--- a/node/src/main/java/org/tallycart/node/request/HedgeControl.java
+++ b/node/src/main/java/org/tallycart/node/request/HedgeControl.java
@@ -104,12 +104,19 @@
 	}
 
 	/**
-	 * Return a hedge that was acquired and is not made; its retry is returned separately.
+	 * Record that a hedge that was acquired is sent; its retry is recorded separately.
 	 * @param service the service
-	 * @param acquiredMs when it was acquired, in monotonic time
 	 */
-	void refund(String service, long acquiredMs) {
-		budget(service).refund(acquiredMs);
+	void onSent(String service) {
+		budget(service).onSent(this.loop.nowMs());
+	}
+
+	/**
+	 * Return a hedge that was acquired and is not sent; its retry is returned separately.
+	 * @param service the service
+	 */
+	void refund(String service) {
+		budget(service).refund();
 	}
 
 	private HedgeBudget budget(String service) {
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -86,6 +86,8 @@
 
 	private final RequestHedging hedging;
 
+	private final RequestRetries retries;
+
 	private List<String> inputs = List.of();
 
 	private final GuardedCallbacks callbacks = new GuardedCallbacks(this);
@@ -102,8 +104,6 @@
 
 	private String streamVersion = "";
 
-	private long seekingSinceMs;
-
 	private int uncountedRetries;
 
 	private AttemptReason attemptReason = AttemptReason.FIRST;
@@ -133,6 +133,7 @@
 		this.picker = new UpstreamPicker(context, plan, this.candidates, this.callbacks);
 		this.retryAfter = new RetryAfterPolicy(this.candidates, plan);
 		this.hedging = context.hedges().forRequest(context, plan);
+		this.retries = new RequestRetries(context.retryBudgets(), plan.service(), this.log);
 		this.lastEventId = plan.request().lastEventId();
 	}
 
@@ -260,8 +261,9 @@
 		boolean first = !this.arrivalCounted;
 		if (first) {
 			this.arrivalCounted = true;
-			this.context.retryBudgets().onArrival(this.plan.service());
+			this.retries.onFirstAttempt();
 		}
+		this.retries.onSend();
 		this.log.onChosen(choice, this.attemptCount, this.attemptReason, this.lastEventId);
 		this.context.coldStartLimiter().onSend(upstream, now());
 		this.context.statements().onSend(upstream.entry());
@@ -283,7 +285,6 @@
 		if (replacesHedge) {
 			cancelHedge("its upstream is silent, too");
 		}
-		this.seekingSinceMs = now();
 		this.attempts.beginSeeking();
 		retry();
 		return this.attempts.isSeeking() || this.attempts.hedge().isPresent();
@@ -294,7 +295,7 @@
 		if (this.attempts.mayHedge(attempt) && !this.stages.hasReleasedResults()
 				&& this.hedging.tryBegin(attempt, this.attemptCount, this.picker)) {
 			this.attemptReason = AttemptReason.HEDGE;
-			this.seekingSinceMs = now();
+			this.retries.onAcquired();
 			this.attempts.beginRace();
 			startAttempt();
 		}
@@ -350,7 +351,7 @@
 		boolean sought = this.attempts.stopSeeking();
 		if (sought) {
 			this.hedging.onNotSent(reason);
-			this.context.retryBudgets().refund(this.plan.service(), this.seekingSinceMs);
+			this.retries.release();
 		}
 		return sought;
 	}
@@ -611,15 +612,8 @@
 		if (this.attemptCount >= this.plan.route().maxAttempts() || this.plan.deadlineMs() - now() < MIN_ATTEMPT_MS) {
 			return false;
 		}
-		boolean granted = this.context.retryBudgets().tryAcquire(this.plan.service());
 		this.attemptReason = AttemptReason.RETRY;
-		if (granted) {
-			this.log.onRetryGranted();
-		}
-		else {
-			this.log.onRetryDenied();
-		}
-		return granted;
+		return this.retries.tryAcquire();
 	}
 
 	private void fail(String reason) {
@@ -719,6 +713,7 @@
 		this.finished = true;
 		this.picker.cancel();
 		stopSeeking("the request has ended");
+		this.retries.release();
 		this.context.inFlight().remove(this);
 		this.context.quarantine().removeInFlight(this.plan.content(), this.onQuarantined);
 		if (this.deadlineTimer != null) {
--- a/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
+++ b/node/src/main/java/org/tallycart/node/request/RetryBudgets.java
@@ -69,8 +69,12 @@
 		return budget(service).usage(this.vmCount.getAsInt(), this.loop.nowMs());
 	}
 
-	void refund(String service, long acquiredMs) {
-		budget(service).refund(acquiredMs);
+	void onSent(String service) {
+		budget(service).onSent(this.loop.nowMs());
+	}
+
+	void refund(String service) {
+		budget(service).refund();
 	}
 
 	WindowedRetryBudget budget(String service) {
--- a/node/src/main/java/org/tallycart/node/request/SlowAttemptHedging.java
+++ b/node/src/main/java/org/tallycart/node/request/SlowAttemptHedging.java
@@ -30,8 +30,6 @@
 
 	private boolean acquired;
 
-	private long acquiredMs;
-
 	private boolean denied;
 
 	SlowAttemptHedging(ServingContext context, RequestPlan plan) {
@@ -52,6 +50,7 @@
 		}
 		if (this.acquired) {
 			this.acquired = false;
+			this.control.onSent(this.plan.service());
 			this.hedge = attempt;
 			this.context.metrics().onHedge("started", this.plan.route().name());
 			log(EventCode.HEDGE_STARTED, attempt);
@@ -71,7 +70,6 @@
 			return false;
 		}
 		this.acquired = true;
-		this.acquiredMs = now();
 		return true;
 	}
 
@@ -101,7 +99,7 @@
 	public void onNotSent(String reason) {
 		if (this.acquired) {
 			this.acquired = false;
-			this.control.refund(this.plan.service(), this.acquiredMs);
+			this.control.refund(this.plan.service());
 			this.context.log()
 				.request(EventCode.HEDGE_DENIED, this.plan.request().id(), "route", this.plan.route().name(), "reason",
 						reason);
--- a/node/src/test/java/org/tallycart/node/request/RetryBudgetsTests.java
+++ b/node/src/test/java/org/tallycart/node/request/RetryBudgetsTests.java
@@ -113,6 +113,7 @@
 					arrivals.add(this.nowMs);
 				}
 				if (budgets[vm].tryAcquire("s")) {
+					budgets[vm].onSent("s");
 					retries.add(this.nowMs);
 				}
 			}
