Replies with a blank, a control byte or a delimiter in the name of a field are malformed

Cause: the parser of the library is lenient: it takes any bytes before the colon for a name, and any for a value, in heads, informational heads and trailers. Fix: one strict parser of lines for all readers of heads: upstreams, the store, calls for other VMs, the product's own blocking calls, and requests of callers, which get 400 (ConnectionTests). Folded lines and bytes over 127 in values are accepted, as the RFC allows. A request that may run once is answered with 502, others are sent elsewhere.

--- a/http/src/main/java/org/tallycart/http/HttpConnection.java
+++ b/http/src/main/java/org/tallycart/http/HttpConnection.java
@@ -23,6 +23,8 @@
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -90,7 +92,9 @@
 		try {
 			socket.setTcpNoDelay(true);
 			socket.connect(new InetSocketAddress(address.host(), address.port()), (int) Math.max(timeoutMs, 1));
-			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(CONFIG);
+			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(CONFIG, null, null, null, null,
+					null, new DefaultHttpResponseParserFactory(CONFIG, StrictLineParser.INSTANCE,
+							DefaultClassicHttpResponseFactory.INSTANCE));
 			connection.bind(socket);
 			return Either.right(new HttpConnection(address, connection, socket));
 		}
--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -21,6 +21,7 @@
 import org.jspecify.annotations.Nullable;
 import org.tallycart.core.outcome.InvariantViolation;
 import org.tallycart.core.outcome.UncaughtErrorReporter;
+import org.tallycart.http.StrictLineParser;
 
 /**
  * Connection of a caller: reads requests one at a time, each fully, and writes their
@@ -93,7 +94,9 @@
 		this.registry = registry;
 		this.limits = handler.limits();
 		this.reader = new MessageReader<>(messageLimits(),
-				(config) -> new DefaultHttpRequestParser<>(DefaultHttpRequestFactory.INSTANCE, config), this);
+				(config) -> new DefaultHttpRequestParser<>(DefaultHttpRequestFactory.INSTANCE,
+						StrictLineParser.INSTANCE, config),
+				this);
 	}
 
 	private MessageLimits messageLimits() {
--- a/http/src/main/java/org/tallycart/http/event/MessageReader.java
+++ b/http/src/main/java/org/tallycart/http/event/MessageReader.java
@@ -4,13 +4,17 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.Arrays;
+import java.util.List;
 import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
 import io.vavr.control.Either;
+import org.apache.hc.core5.http.FormattedHeader;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
@@ -19,6 +23,7 @@
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.jspecify.annotations.Nullable;
+import org.tallycart.http.StrictLineParser;
 
 /**
  * Incremental parser of received bytes into message heads, body parts and message ends.
@@ -176,7 +181,7 @@
 		};
 	}
 
-	private boolean readBody(ContentDecoder decoder) throws IOException {
+	private boolean readBody(ContentDecoder decoder) throws IOException, HttpException {
 		this.part.clear();
 		int before = this.received.length();
 		int count = decoder.read(this.part);
@@ -189,6 +194,7 @@
 			return false;
 		}
 		if (decoder.isCompleted()) {
+			checkTrailers(decoder);
 			this.body = null;
 			this.sink.onEnd();
 			return this.received.hasData();
@@ -196,6 +202,19 @@
 		return count > 0;
 	}
 
+	// The decoder of the library parses trailers leniently.
+	private static void checkTrailers(ContentDecoder decoder) throws ParseException {
+		List<? extends Header> trailers = decoder.getTrailers();
+		if (trailers == null) {
+			return;
+		}
+		for (Header trailer : trailers) {
+			if (trailer instanceof FormattedHeader formatted) {
+				StrictLineParser.checkField(formatted.getBuffer());
+			}
+		}
+	}
+
 	// Bytes that are left when nothing can be read are an incomplete line.
 	private boolean isFramingWithinLimit(ContentDecoder decoder) {
 		boolean incompleteLine = this.part.position() == 0 && !decoder.isCompleted();
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -15,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 import org.tallycart.core.outcome.InvariantViolation;
 import org.tallycart.core.outcome.UncaughtErrorReporter;
+import org.tallycart.http.StrictLineParser;
 
 /**
  * Connection to an upstream that carries one call at a time.
@@ -61,7 +62,9 @@
 		this.limits = limits;
 		this.observer = observer;
 		this.reader = new MessageReader<>(limits,
-				(config) -> new DefaultHttpResponseParser<>(DefaultHttpResponseFactory.INSTANCE, config), this);
+				(config) -> new DefaultHttpResponseParser<>(DefaultHttpResponseFactory.INSTANCE,
+						StrictLineParser.INSTANCE, config),
+				this);
 	}
 
 	@Override
--- /dev/null
+++ b/http/src/test/java/org/tallycart/http/MalformedBlockingReplyTests.java
@@ -0,0 +1,68 @@
+package org.tallycart.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+import io.vavr.control.Either;
+import org.tallycart.core.ini.Address;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+/**
+ * Tests for bytes that are no reply to a blocking call, on real sockets.
+ */
+public class MalformedBlockingReplyTests {
+
+	private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+	private static final String EMPTY = "Content-Length: 0\r\n\r\n";
+
+	private static final long TIMEOUT_MS = 10_000;
+
+	private static Either<HttpFailure, HttpReply> call(String sent) throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			Thread peer = new Thread(() -> send(server, sent));
+			peer.start();
+			HttpConnection connection = HttpConnection
+				.connect(new Address("127.0.0.1", server.getLocalPort()), TIMEOUT_MS)
+				.get();
+			Either<HttpFailure, HttpReply> reply = connection.call(HttpCall.get("/x").build(), TIMEOUT_MS);
+			connection.close();
+			peer.join(TIMEOUT_MS);
+			assertFalse(peer.isAlive());
+			return reply;
+		}
+	}
+
+	private static void send(ServerSocket server, String text) {
+		try (Socket caller = server.accept()) {
+			caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+			caller.shutdownOutput();
+			caller.getInputStream().readAllBytes();
+		}
+		catch (IOException ex) {
+			// The caller has closed the connection.
+		}
+	}
+
+	@DataProvider
+	static Object[][] malformed() {
+		return new Object[][] { { OK + "X Y: 1\r\n" + EMPTY }, { OK + " X: 1\r\n" + EMPTY },
+				{ OK + "X\u0001Y: 1\r\n" + EMPTY }, { OK + "X(Y: 1\r\n" + EMPTY }, { OK + "X: a\u0000b\r\n" + EMPTY },
+				{ "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + OK + EMPTY },
+				{ OK + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n-1\r\nab\r\n0\r\n\r\n" } };
+	}
+
+	// Guards against bytes that are no reply and are taken for an answer.
+	@Test(dataProvider = "malformed")
+	void aMalformedReplyIsBroken(String sent) throws Exception {
+		assertEquals(call(sent).getLeft().kind(), HttpFailure.Kind.BROKEN);
+	}
+
+}
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -143,6 +143,7 @@
 				{ "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400" },
 				{ "POST /a HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", "400" },
 				{ "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400" },
+				{ "GET /a HTTP/1.1\r\nX Y: 1\r\n\r\n", "400" }, { "GET /a HTTP/1.1\r\nX: a\u0000b\r\n\r\n", "400" },
 				{ "POST /a HTTP/1.1\r\nContent-Length: 3001\r\n\r\n", "413" },
 				{ "GET /a HTTP/1.1\r\nX: " + "x".repeat(1_500) + "\r\nY: " + "y".repeat(1_000) + "\r\n", "431" },
 				{ "GET /a HTTP/1.1\r\nX: half a head", "408" } };
--- /dev/null
+++ b/node/src/test/java/org/tallycart/node/MalformedReplyRequestTests.java
@@ -0,0 +1,108 @@
+package org.tallycart.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+import org.tallycart.core.ini.Address;
+import org.tallycart.platform.standin.UpstreamStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of what callers get when upstreams send bytes that are no reply, on real sockets.
+ */
+public class MalformedReplyRequestTests extends AbstractNodeTests {
+
+	private static final String BODY = "body of the upstream";
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Tallycart-Response-Stamp: s\r\n";
+
+	private static final String REST = "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
+
+	private final ServerSocket upstream = listen();
+
+	private volatile String reply = "";
+
+	@Override
+	int vms() {
+		return 1;
+	}
+
+	@Override
+	void addUpstream(String service, String id) {
+		UpstreamStandin standin = UpstreamStandin.start(id, this.group);
+		this.upstreams.put(id, standin);
+		if (service.equals("plain")) {
+			standin.advertise(new Address("127.0.0.1", this.upstream.getLocalPort()));
+		}
+		this.store.put("servers", id, standin.entry(service, "d", "ready"));
+	}
+
+	private ServerSocket listen() {
+		try {
+			ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+			Thread accepting = new Thread(() -> accept(socket));
+			accepting.setDaemon(true);
+			accepting.start();
+			return socket;
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private void accept(ServerSocket socket) {
+		while (!socket.isClosed()) {
+			try (Socket caller = socket.accept()) {
+				int received = caller.getInputStream().read(new byte[1 << 16]);
+				if (received > 0) {
+					caller.getOutputStream().write(this.reply.getBytes(StandardCharsets.ISO_8859_1));
+					caller.shutdownOutput();
+					caller.getInputStream().readAllBytes();
+				}
+			}
+			catch (IOException ex) {
+				// The VM has closed the connection.
+			}
+		}
+	}
+
+	@AfterMethod
+	void stopUpstream() {
+		this.reply = "";
+	}
+
+	@DataProvider
+	static Object[][] malformed() {
+		return new Object[][] { { HEAD + "X Y: 1\r\n" + REST }, { HEAD + "X\u0001Y: 1\r\n" + REST },
+				{ "HTTP/1.1 200 OK\r\n X: 1\r\nX-Tallycart-Response-Stamp: s\r\n" + REST },
+				{ HEAD + "X: a\u0000b\r\n" + REST }, { "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + HEAD + REST },
+				{ HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX Y: 1\r\n\r\n" } };
+	}
+
+	// Guards against bytes that are no reply and that callers get as an answer.
+	@Test(dataProvider = "malformed")
+	void aMalformedReplyIsNoAnswer(String sent) {
+		this.reply = sent;
+		String response = request(this.nodes.get(0), "/once/x", "r1", KEY);
+		assertTrue(response.startsWith("HTTP/1.1 502"), response);
+		assertFalse(response.contains(BODY), response);
+	}
+
+	@Test
+	void aSoundReplyIsAnAnswer() {
+		this.reply = HEAD + "X-Y: 1\r\n" + REST;
+		String response = request(this.nodes.get(0), "/once/x", "r1", KEY);
+		assertTrue(response.startsWith("HTTP/1.1 200"), response);
+		assertTrue(response.contains("X-Y: 1\r\n"), response);
+		assertTrue(response.endsWith(BODY), response);
+	}
+
+}
