Replies with a status such as 000 are malformed

What callers saw: a 502 after an error inside the VM, not one that names the reply; the blocking calls of the product's own interface did not catch the library's exception for 000 and took 999 and HTTP/2.0 for a reply. Cause: the library accepts any number as a status and any version. Fix: StrictLineParser takes HTTP/1.x and a status from 100 to 599, and no control character in the reason.

--- a/http/src/main/java/org/tallycart/http/StrictLineParser.java
+++ b/http/src/main/java/org/tallycart/http/StrictLineParser.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.message.BasicLineParser;
 import org.apache.hc.core5.http.message.BufferedHeader;
+import org.apache.hc.core5.http.message.StatusLine;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
@@ -25,9 +26,33 @@
 
 	private static final int DELETE = 127;
 
+	private static final String VERSION = "HTTP/1.";
+
+	/** Position of the status, after the digit of the version and a blank. */
+	private static final int STATUS_BEGIN = VERSION.length() + 2;
+
+	private static final int STATUS_END = STATUS_BEGIN + 3;
+
 	private StrictLineParser() {
 	}
 
+	@Override
+	public StatusLine parseStatusLine(CharArrayBuffer line) throws ParseException {
+		boolean version = line.length() >= STATUS_END && line.substring(0, VERSION.length()).equals(VERSION)
+				&& isDigit(line.charAt(VERSION.length())) && line.charAt(STATUS_BEGIN - 1) == ' ';
+		boolean status = version && line.charAt(STATUS_BEGIN) >= '1' && line.charAt(STATUS_BEGIN) <= '5'
+				&& isDigit(line.charAt(STATUS_BEGIN + 1)) && isDigit(line.charAt(STATUS_END - 1));
+		if (!status || (line.length() > STATUS_END && line.charAt(STATUS_END) != ' ')) {
+			throw new ParseException("a status line without HTTP/1 and a status from 100 to 599");
+		}
+		checkText(line, STATUS_END, "the reason of a status line");
+		return super.parseStatusLine(line);
+	}
+
+	private static boolean isDigit(char c) {
+		return c >= '0' && c <= '9';
+	}
+
 	@Override
 	public Header parseHeader(CharArrayBuffer line) throws ParseException {
 		checkField(line);
@@ -54,8 +79,7 @@
 	}
 
 	private static boolean isTokenCharacter(char c) {
-		return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
-				|| TOKEN_SYMBOLS.indexOf(c) >= 0;
+		return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || isDigit(c) || TOKEN_SYMBOLS.indexOf(c) >= 0;
 	}
 
 	private static void checkText(CharArrayBuffer line, int begin, String what) throws ParseException {
--- a/http/src/test/java/org/tallycart/http/MalformedBlockingReplyTests.java
+++ b/http/src/test/java/org/tallycart/http/MalformedBlockingReplyTests.java
@@ -65,4 +65,16 @@
 		assertEquals(call(sent).getLeft().kind(), HttpFailure.Kind.BROKEN);
 	}
 
+	@DataProvider
+	static Object[][] statusLines() {
+		return new Object[][] { { "HTTP/1.1 000 OK" }, { "HTTP/1.1 999 OK" }, { "HTTP/2.0 200 OK" },
+				{ "HTTP/1.1 200 O\u0000K" } };
+	}
+
+	// Guards against a status such as 000 that ends the call by an error of the library.
+	@Test(dataProvider = "statusLines")
+	void aReplyWithAMalformedStatusLineIsBroken(String line) throws Exception {
+		assertEquals(call(line + "\r\n" + EMPTY).getLeft().kind(), HttpFailure.Kind.BROKEN);
+	}
+
 }
--- a/http/src/test/java/org/tallycart/http/event/MalformedReplyTests.java
+++ b/http/src/test/java/org/tallycart/http/event/MalformedReplyTests.java
@@ -110,4 +110,25 @@
 		assertEquals(this.outcomes, List.of("FRAMED"));
 	}
 
+	@DataProvider
+	static Object[][] statusLines() {
+		return Stream
+			.of("HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 00 OK",
+					"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 2x0 OK",
+					"HTTP/1.1 200OK", "HTTP/1.1  200 OK", " HTTP/1.1 200 OK", "HTTP/1.1\t200 OK", "HTTP/2.0 200 OK",
+					"HTTP/0.9 200 OK", "HTTP/1.1x 200 OK", "HTTP/11 200 OK", "HTTP/1.1 200 O\u0000K",
+					"HTTP/1.1 200 O\rK", "HTTP/1.1 200 \u007f", "HTTP/1.1 ", "HTTP/1.1")
+			.map((line) -> new Object[] { line })
+			.toArray(Object[][]::new);
+	}
+
+	// Guards against a status such as 000 that is taken for an answer, or that ends the
+	// call by an error of the library.
+	@Test(dataProvider = "statusLines")
+	void aReplyWithAMalformedStatusLineIsMalformed(String line) {
+		receive(line + "\r\n" + EMPTY);
+		assertEquals(this.outcomes, List.of("MALFORMED"));
+		assertFalse(this.channel.isOpen());
+	}
+
 }
--- a/node/src/test/java/org/tallycart/node/MalformedReplyRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/MalformedReplyRequestTests.java
@@ -83,6 +83,7 @@
 	static Object[][] malformed() {
 		return new Object[][] { { HEAD + "X Y: 1\r\n" + REST }, { HEAD + "X\u0001Y: 1\r\n" + REST },
 				{ "HTTP/1.1 200 OK\r\n X: 1\r\nX-Tallycart-Response-Stamp: s\r\n" + REST },
+				{ HEAD.replace("200", "000") + REST }, { HEAD.replace("200", "999") + REST },
 				{ HEAD + "X: a\u0000b\r\n" + REST }, { "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + HEAD + REST },
 				{ HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX Y: 1\r\n\r\n" } };
 	}
