A negative size of a chunk makes a reply malformed

What callers saw: nothing until their time-out, or content of the reply that was read as framing. Cause: the decoder of the library takes -1 for a size that it has not read yet and reads the next line, which is content, as a size; with other negative sizes it waits. Fix: each size is checked to be a hexadecimal number before it is parsed, in replies and in requests.

--- a/http/src/main/java/org/tallycart/http/event/MessageReader.java
+++ b/http/src/main/java/org/tallycart/http/event/MessageReader.java
@@ -169,6 +169,8 @@
 			return false;
 		}
 		this.body = decoder(framing.get());
+		this.received.setLineCheck((framing.get().kind() == BodyFraming.Kind.CHUNKED) ? new ChunkSizeCheck()
+				: ReceiveBuffer.LineCheck.NONE);
 		return true;
 	}
 
@@ -195,6 +197,7 @@
 		}
 		if (decoder.isCompleted()) {
 			checkTrailers(decoder);
+			this.received.setLineCheck(ReceiveBuffer.LineCheck.NONE);
 			this.body = null;
 			this.sink.onEnd();
 			return this.received.hasData();
--- a/http/src/main/java/org/tallycart/http/event/ReceiveBuffer.java
+++ b/http/src/main/java/org/tallycart/http/event/ReceiveBuffer.java
@@ -27,6 +27,16 @@
 	/** Number of bytes at the beginning that contain no end of a line. */
 	private int bytesWithoutLineEnd;
 
+	private LineCheck lineCheck = LineCheck.NONE;
+
+	/**
+	 * Set the check of all lines that are read from now on.
+	 * @param check the check
+	 */
+	void setLineCheck(LineCheck check) {
+		this.lineCheck = check;
+	}
+
 	void add(ByteBuf received) {
 		// Parsed bytes would otherwise stay while the end of each part is incomplete.
 		if (this.bytes.readerIndex() > this.bytes.capacity() / 2) {
@@ -105,7 +115,7 @@
 	}
 
 	@Override
-	public boolean readLine(CharArrayBuffer line, boolean endOfStream) {
+	public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
 		int begin = this.bytes.readerIndex();
 		int lineEnd = this.bytes.indexOf(begin + this.bytesWithoutLineEnd, this.bytes.writerIndex(), (byte) '\n');
 		if (lineEnd < 0) {
@@ -118,9 +128,27 @@
 		if (length > 0 && this.bytes.getByte(this.bytes.readerIndex() + length - 1) == '\r') {
 			length--;
 		}
-		line.append(this.bytes.toString(this.bytes.readerIndex(), length, StandardCharsets.ISO_8859_1));
+		String text = this.bytes.toString(this.bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
+		this.lineCheck.check(text);
+		line.append(text);
 		this.bytes.skipBytes(lineFeed + 1);
 		return true;
 	}
 
+	/** Check of a line before it is parsed. */
+	interface LineCheck {
+
+		/** Accepts all lines. */
+		LineCheck NONE = (line) -> {
+		};
+
+		/**
+		 * Check a line.
+		 * @param line the line, without its end
+		 * @throws IOException if it is malformed
+		 */
+		void check(String line) throws IOException;
+
+	}
+
 }
--- a/http/src/test/java/org/tallycart/http/event/MalformedReplyTests.java
+++ b/http/src/test/java/org/tallycart/http/event/MalformedReplyTests.java
@@ -101,7 +101,8 @@
 				{ "HTTP/1.1 599 R\u00e9ponse\tx\r\n" + EMPTY }, { OK + "X:\r\n" + EMPTY },
 				{ OK + "!#$%&'*+-.^_`|~09az: \t a\tb\u00e9 \r\n" + EMPTY }, { OK + "X: a\r\n b\r\n" + EMPTY },
 				{ "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + OK + EMPTY },
-				{ CHUNKED + "1\r\na\r\n0\r\nT: 1\r\n\r\n" }, { OK + "X: 1\n" + EMPTY } };
+				{ CHUNKED + "1\r\na\r\n0\r\nT: 1\r\n\r\n" },
+				{ CHUNKED + "0A ;e=1\r\n0123456789\r\n00\r\n-T: 1\r\n\r\n" }, { OK + "X: 1\n" + EMPTY } };
 	}
 
 	@Test(dataProvider = "sound")
@@ -131,4 +132,17 @@
 		assertFalse(this.channel.isOpen());
 	}
 
+	@DataProvider
+	static Object[][] chunkSizes() {
+		return new Object[][] { { "-1" }, { "-2" }, { "+2" }, { " 2" }, { "2 2" }, { "0x2" }, { "" }, { "x" },
+				{ "80000000000000000" }, { "-8000000000000000" } };
+	}
+
+	// Guards against a negative size of a chunk, with which content is read as a size.
+	@Test(dataProvider = "chunkSizes")
+	void aReplyWithAMalformedSizeOfAChunkIsMalformed(String size) {
+		receive(CHUNKED + "1\r\na\r\n" + size + "\r\nab\r\n0\r\n\r\n");
+		assertEquals(this.outcomes, List.of("MALFORMED"));
+	}
+
 }
