Heads that end early are not taken for whole ones by blocking connections

Cause: the blocking parsers of the library take the end of the input for the end of the head; without the fields that frame it, the body is empty and ends with the connection. The connections of the VMs are sound: MalformedReplyTests cuts a head at each byte, each one is CLOSED; it passed before. Fix: the end of the input is an error while a head is read.

--- a/http/src/main/java/org/tallycart/http/BlockingHttpServer.java
+++ b/http/src/main/java/org/tallycart/http/BlockingHttpServer.java
@@ -21,7 +21,10 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpRequestFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.HttpService;
+import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.support.BasicHttpServerExpectationDecorator;
 import org.apache.hc.core5.http.io.support.BasicHttpServerRequestHandler;
@@ -125,8 +128,14 @@
 		}
 	}
 
+	private static HttpMessageParser<ClassicHttpRequest> parser(Http1Config config) {
+		return new WholeHeadParser<>(new DefaultHttpRequestParser(config, StrictLineParser.INSTANCE,
+				DefaultClassicHttpRequestFactory.INSTANCE));
+	}
+
 	private void run(ServerConnection connection) {
-		try (DefaultBHttpServerConnection http = new DefaultBHttpServerConnection("http", Http1Config.DEFAULT)) {
+		try (DefaultBHttpServerConnection http = new DefaultBHttpServerConnection("http", Http1Config.DEFAULT, null,
+				null, null, null, BlockingHttpServer::parser, null)) {
 			http.bind(connection.socket());
 			while (http.isOpen() && !(this.draining && connection.hasServed())) {
 				HttpCoreContext context = HttpCoreContext.create();
--- a/http/src/main/java/org/tallycart/http/HttpConnection.java
+++ b/http/src/main/java/org/tallycart/http/HttpConnection.java
@@ -24,8 +24,9 @@
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
-import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -93,8 +94,7 @@
 			socket.setTcpNoDelay(true);
 			socket.connect(new InetSocketAddress(address.host(), address.port()), (int) Math.max(timeoutMs, 1));
 			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(CONFIG, null, null, null, null,
-					null, new DefaultHttpResponseParserFactory(CONFIG, StrictLineParser.INSTANCE,
-							DefaultClassicHttpResponseFactory.INSTANCE));
+					null, HttpConnection::parser);
 			connection.bind(socket);
 			return Either.right(new HttpConnection(address, connection, socket));
 		}
@@ -104,6 +104,11 @@
 		}
 	}
 
+	private static HttpMessageParser<ClassicHttpResponse> parser(Http1Config config) {
+		return new WholeHeadParser<>(new DefaultHttpResponseParser(config, StrictLineParser.INSTANCE,
+				DefaultClassicHttpResponseFactory.INSTANCE));
+	}
+
 	/**
 	 * Make a call and read the full reply.
 	 * @param call the call
--- a/http/src/test/java/org/tallycart/http/MalformedBlockingReplyTests.java
+++ b/http/src/test/java/org/tallycart/http/MalformedBlockingReplyTests.java
@@ -13,6 +13,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Tests for bytes that are no reply to a blocking call, on real sockets.
@@ -77,4 +78,18 @@
 		assertEquals(call(line + "\r\n" + EMPTY).getLeft().kind(), HttpFailure.Kind.BROKEN);
 	}
 
+	// Guards against a reply that is cut within its head and taken for a whole one with
+	// an
+	// empty body.
+	@Test
+	void aReplyThatIsCutWithinItsHeadIsBroken() throws Exception {
+		String head = OK + "X: 1\r\nContent-Length: 0\r\n\r\n";
+		for (int length = 0; length < head.length(); length++) {
+			Either<HttpFailure, HttpReply> reply = call(head.substring(0, length));
+			assertTrue(reply.isLeft(), "cut after " + length + " bytes");
+			assertEquals(reply.getLeft().kind(), HttpFailure.Kind.BROKEN);
+		}
+		assertEquals(call(head).get().status(), 200);
+	}
+
 }
--- a/http/src/test/java/org/tallycart/http/event/MalformedReplyTests.java
+++ b/http/src/test/java/org/tallycart/http/event/MalformedReplyTests.java
@@ -8,6 +8,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.tallycart.core.ini.Address;
 import org.testng.annotations.BeforeMethod;
@@ -145,4 +146,17 @@
 		assertEquals(this.outcomes, List.of("MALFORMED"));
 	}
 
+	// Guards against a reply that is cut within its head and taken for a whole one.
+	@Test
+	void aReplyThatIsCutWithinItsHeadIsNoReply() {
+		String head = OK + "X: 1\r\nContent-Length: 0\r\n\r\n";
+		for (int length = 0; length < head.length(); length++) {
+			startCall();
+			receive(head.substring(0, length));
+			this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+			this.channel.runPendingTasks();
+			assertEquals(this.outcomes, List.of("CLOSED"), "cut after " + length + " bytes");
+		}
+	}
+
 }
