The end of the input completes a reply only after its request is written

An upstream answers a long upload at once with a 200 without a length and closes with bytes unread, so that the connection is reset while the upload is written. Cause: the failed write closes the channel, and the read that follows it in the same turn of the event loop reports the end of the input, as an orderly end does. UpstreamConnectionTests shows both outcomes without sockets. Fix: a reply that ends with its connection is complete once the whole request is written; if the write fails, the call fails.

--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -21,9 +22,9 @@
  * Connection to an upstream that carries one call at a time.
  * <p>
  * Invariants: bytes that arrive while no call is in progress close the connection, so
- * that they are never taken for the next reply. Only the end of the input completes a
- * reply with neither a length nor chunks; a connection that closes otherwise fails its
- * call. Not thread-safe: confined to its event loop.
+ * that they are never taken for the next reply. Only the end of the input, after the
+ * request is written, completes a reply with neither a length nor chunks; a connection
+ * that closes otherwise fails its call. Not thread-safe: confined to its event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter implements MessageReader.Sink<HttpResponse> {
 
@@ -41,6 +42,8 @@
 
 	private @Nullable ReplyListener listener;
 
+	private @Nullable ChannelFuture requestWritten;
+
 	private boolean headRequest;
 
 	private boolean skippingMessage;
@@ -81,7 +84,8 @@
 		this.keepAlive = true;
 		this.idleLimitMs = ConnectionPool.DEFAULT_IDLE_LIMIT_MS;
 		this.headRequest = "HEAD".equals(request.head().getMethod());
-		requireContext().writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.request(request.head()), request.body()));
+		this.requestWritten = requireContext()
+			.writeAndFlush(Unpooled.wrappedBuffer(HeadWriter.request(request.head()), request.body()));
 	}
 
 	/** Closes the connection without notifying the listener. */
@@ -137,10 +141,24 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof ChannelInputShutdownEvent) {
-			this.reader.onInputEnd();
+		if (!(event instanceof ChannelInputShutdownEvent)) {
+			return;
+		}
+		// A connection that is reset while the request is written shows the same event.
+		ChannelFuture written = this.requestWritten;
+		if (written == null) {
 			context.close();
 		}
+		else {
+			written.addListener((done) -> onInputEnd(context, done.isSuccess()));
+		}
+	}
+
+	private void onInputEnd(ChannelHandlerContext context, boolean written) {
+		if (written) {
+			this.reader.onInputEnd();
+		}
+		context.close();
 	}
 
 	@Override
--- a/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/UpstreamConnectionTests.java
@@ -1,13 +1,18 @@
 package org.tallycart.http.event;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.util.ReferenceCountUtil;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.tallycart.core.ini.Address;
@@ -75,6 +80,36 @@
 		assertEquals(this.outcomes, List.of("CLOSED"));
 	}
 
+	@DataProvider
+	static Object[][] writes() {
+		return new Object[][] { { true, "INPUT_CLOSED half" }, { false, "CLOSED" } };
+	}
+
+	// Guards against part of a reply that is taken as complete, since its connection was
+	// reset while the request was written.
+	@Test(dataProvider = "writes")
+	void anEndOfInputCompletesAReplyOnceTheRequestIsWritten(boolean written, String outcome) {
+		List<ChannelPromise> pending = new ArrayList<>();
+		UpstreamConnection connection = new UpstreamConnection(new ConnectionPool(() -> 0),
+				MessageLimits.builder().build(), ConnectionObserver.NONE);
+		this.channel = new EmbeddedChannel(new PendingWrites(pending), connection);
+		connection.start(
+				ClientRequest.builder("p", new Address("127.0.0.1", 1), new BasicHttpRequest("GET", "/x")).build(),
+				new BodyListener(this.outcomes));
+		receive(OK + "\r\nhalf");
+		endInput();
+		assertEquals(this.outcomes, List.of());
+		if (written) {
+			pending.get(0).setSuccess();
+		}
+		else {
+			pending.get(0).setFailure(new IOException("connection reset"));
+		}
+		this.channel.runPendingTasks();
+		assertEquals(this.outcomes, List.of(outcome));
+		assertFalse(this.channel.isOpen());
+	}
+
 	// Guards against a call that never ends, since its reply was replaced by that of
 	// another call.
 	@Test
@@ -152,4 +187,21 @@
 
 	}
 
+	/** Keeps writes pending. */
+	private static final class PendingWrites extends ChannelOutboundHandlerAdapter {
+
+		private final List<ChannelPromise> pending;
+
+		private PendingWrites(List<ChannelPromise> pending) {
+			this.pending = pending;
+		}
+
+		@Override
+		public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+			ReferenceCountUtil.release(message);
+			this.pending.add(promise);
+		}
+
+	}
+
 }
--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -94,6 +94,14 @@
 		return HedgeLimits.OFF;
 	}
 
+	/**
+	 * Return the configuration that a test starts with.
+	 * @return the text, with a placeholder for the version
+	 */
+	String config() {
+		return CONFIG;
+	}
+
 	@BeforeMethod
 	void begin() {
 		this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -107,7 +115,7 @@
 				addUpstream(service, "i-" + service + i);
 			}
 		}
-		this.store.put("config", "main", String.format(CONFIG, 7));
+		this.store.put("config", "main", String.format(config(), 7));
 		for (int i = 0; i < vms(); i++) {
 			this.nodes.add(Node.start(settings("vm-" + i), 0, Optional.empty(), hedgeLimits()).get());
 		}
