Requests that come late in a graceful stop are refused unless they end before it

What callers saw: streams and long requests that a stopping VM read more than 2.3 s after the signal were passed on and cut at the end of the grace time (LOST), also in calm. Cause: after it has stopped listening a VM still reads requests on connections that had sent part of one, and took them like any other until 2.6 s before the end. Evidence: StoppingVmTests, a request that is read 3 s after the signal with a grace time of 8 s: the two streams were passed on and cut before; plain requests of 9 s as well. Fix: once the VM has stopped listening, a request whose deadline is after the end of the stop gets 503 with Retry-After at once, before it has run; others are served as before (/once, /plain in the test).

--- a/node/src/main/java/org/tallycart/node/Node.java
+++ b/node/src/main/java/org/tallycart/node/Node.java
@@ -433,6 +433,7 @@
 		this.loop.schedule(ACCEPT_DURING_DRAIN_MS, () -> {
 			callers.stopListening();
 			callers.closeIdle();
+			this.inFlight.refuseIfLaterThan(deadlineMs);
 			awaitIdle(callers, deadlineMs);
 		});
 	}
--- a/node/src/main/java/org/tallycart/node/request/InFlightRequests.java
+++ b/node/src/main/java/org/tallycart/node/request/InFlightRequests.java
@@ -18,6 +18,8 @@
 
 	private boolean stopping;
 
+	private long latestDeadlineMs = Long.MAX_VALUE;
+
 	void add(InFlightRequest request) {
 		this.requests.add(request);
 	}
@@ -26,6 +28,14 @@
 		this.requests.remove(request);
 	}
 
+	/**
+	 * Refuse requests that come from now on and may not end before this VM does.
+	 * @param stopMs when this VM ends its requests, in monotonic time
+	 */
+	public void refuseIfLaterThan(long stopMs) {
+		this.latestDeadlineMs = stopMs;
+	}
+
 	/**
 	 * Refuse the requests that have not been sent to any upstream, and those that come
 	 * later, since this VM stops before they would be answered.
@@ -45,8 +55,8 @@
 		return new ArrayList<>(this.requests);
 	}
 
-	boolean isStopping() {
-		return this.stopping;
+	boolean refuses(RequestPlan plan) {
+		return this.stopping || plan.deadlineMs() > this.latestDeadlineMs;
 	}
 
 }
--- a/node/src/main/java/org/tallycart/node/request/RequestFlow.java
+++ b/node/src/main/java/org/tallycart/node/request/RequestFlow.java
@@ -144,7 +144,7 @@
 		this.deadlineTimer = this.context.loop()
 			.schedule(this.plan.deadlineMs() - RESPONSE_MARGIN_MS - now(), () -> this.callbacks.run(this::onDeadline));
 		this.context.inFlight().add(this);
-		if (this.context.inFlight().isStopping()) {
+		if (this.context.inFlight().refuses(this.plan)) {
 			stop();
 			return;
 		}
--- a/node/src/main/java/org/tallycart/node/request/ResumedRequest.java
+++ b/node/src/main/java/org/tallycart/node/request/ResumedRequest.java
@@ -42,7 +42,7 @@
 		this.responder.onCallerDisconnected(this::onCallerGone);
 		this.responder.onHandlingFailed(this::onHandlingFailed);
 		this.context.inFlight().add(this);
-		if (this.context.inFlight().isStopping()) {
+		if (this.context.inFlight().refuses(this.plan)) {
 			stop();
 			return;
 		}
