--- a/core/src/main/java/org/tallycart/core/upstream/RetryUsage.java
+++ b/core/src/main/java/org/tallycart/core/upstream/RetryUsage.java
@@ -13,4 +13,14 @@
  * @since 0.1
  */
 public record RetryUsage(int retries, double allowed, int arrivals, int sharingVms) {
+
+	/**
+	 * Return whether the VM has a share of the slack.
+	 * @return false just after its start, and while it does not know how many VMs there
+	 * are
+	 */
+	public boolean hasSlack() {
+		return this.sharingVms != SharingVms.NO_SHARE;
+	}
+
 }
--- a/node/src/main/java/org/tallycart/node/request/AttemptLog.java
+++ b/node/src/main/java/org/tallycart/node/request/AttemptLog.java
@@ -96,7 +96,7 @@
 		RetryUsage usage = this.context.retryBudgets().usage(this.plan.service());
 		log(code, "service", this.plan.service(), "repeats", usage.retries(), "allowed",
 				Math.round(usage.allowed() * PERCENT) / PERCENT, "requests", usage.arrivals(), "sharing_vms",
-				usage.sharingVms());
+				usage.hasSlack() ? usage.sharingVms() : NONE);
 	}
 
 	void onStopped(String progress, int sends, Optional<String> afterEvent, String told) {
