A late additional answer is not taken for the answer to the next stage call

What callers saw: a 200 with an answer that was made of results of other requests (MIXED), after a stage worker had sent an answer once more on the connection of the next call. Cause: stage calls had no id, and FullReplyCall took any reply for its own. Fix: calls that run pieces or release results carry an id of their own, which workers repeat (PROTOCOL.md, Workers); a reply with another id is skipped, as for requests and relays, by one check (ClientRequest.replyCheck). A reply without an id is still taken.

--- a/http/src/main/java/org/tallycart/http/event/ClientRequest.java
+++ b/http/src/main/java/org/tallycart/http/event/ClientRequest.java
@@ -1,6 +1,9 @@
 package org.tallycart.http.event;
 
+import java.util.function.Predicate;
+
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
 import org.tallycart.core.ini.Address;
 
 /**
@@ -14,10 +17,12 @@
  * @param body the request body
  * @param connectTimeoutMs the connect timeout, in milliseconds
  * @param reuseConnection whether a pooled connection may be used
+ * @param replyCheck tells from its head whether a reply answers this request; used by
+ * {@link FullReplyCall}
  * @since 0.1
  */
 public record ClientRequest(String poolName, Address address, HttpRequest head, byte[] body, int connectTimeoutMs,
-		boolean reuseConnection) {
+		boolean reuseConnection, Predicate<HttpResponse> replyCheck) {
 
 	/**
 	 * Create a builder.
@@ -49,6 +54,8 @@
 
 		private boolean reuseConnection = true;
 
+		private Predicate<HttpResponse> replyCheck = (reply) -> true;
+
 		private Builder(String poolName, Address address, HttpRequest head) {
 			this.poolName = poolName;
 			this.address = address;
@@ -84,13 +91,24 @@
 			return this;
 		}
 
+		/**
+		 * Set how a reply to this request is told from a late one to another request.
+		 * @param check tells from the head of a reply whether it answers this request;
+		 * accepts all by default
+		 * @return this builder
+		 */
+		public Builder replyCheck(Predicate<HttpResponse> check) {
+			this.replyCheck = check;
+			return this;
+		}
+
 		/**
 		 * Build the request.
 		 * @return the request
 		 */
 		public ClientRequest build() {
 			return new ClientRequest(this.poolName, this.address, this.head, this.body, this.connectTimeoutMs,
-					this.reuseConnection);
+					this.reuseConnection, this.replyCheck);
 		}
 
 	}
--- a/http/src/main/java/org/tallycart/http/event/FullReplyCall.java
+++ b/http/src/main/java/org/tallycart/http/event/FullReplyCall.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.HttpResponse;
@@ -19,6 +20,8 @@
  */
 public final class FullReplyCall implements ReplyListener, Call {
 
+	private final Predicate<HttpResponse> replyCheck;
+
 	private final Consumer<Either<CallFailure, FullReply>> consumer;
 
 	private final HeldBuffer body;
@@ -31,7 +34,9 @@
 
 	private boolean ended;
 
-	private FullReplyCall(ReceiveLimits limits, Consumer<Either<CallFailure, FullReply>> consumer) {
+	private FullReplyCall(ReceiveLimits limits, Predicate<HttpResponse> replyCheck,
+			Consumer<Either<CallFailure, FullReply>> consumer) {
+		this.replyCheck = replyCheck;
 		this.consumer = consumer;
 		this.body = new HeldBuffer(MessageLimit.REPLY_BYTES, limits.message().replyBytes(), limits.held(),
 				this::onLimitExceeded);
@@ -48,7 +53,7 @@
 	 */
 	public static Call start(HttpCaller client, ScheduledExecutorService loop, ClientRequest request, long timeoutMs,
 			Consumer<Either<CallFailure, FullReply>> consumer) {
-		FullReplyCall fullReplyCall = new FullReplyCall(client.receiveLimits(), consumer);
+		FullReplyCall fullReplyCall = new FullReplyCall(client.receiveLimits(), request.replyCheck(), consumer);
 		fullReplyCall.timeout = loop.schedule(fullReplyCall::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
 		fullReplyCall.call = client.call(request, fullReplyCall);
 		return fullReplyCall;
@@ -74,6 +79,9 @@
 
 	@Override
 	public boolean onHead(HttpResponse response) {
+		if (!this.replyCheck.test(response)) {
+			return false;
+		}
 		this.head = response;
 		if (response.containsHeader("Content-Length")) {
 			this.body.markLengthKnown();
--- a/node/src/main/java/org/tallycart/node/link/RelayMessageCodec.java
+++ b/node/src/main/java/org/tallycart/node/link/RelayMessageCodec.java
@@ -13,6 +13,7 @@
 import org.tallycart.core.ini.Address;
 import org.tallycart.http.event.CallFailure;
 import org.tallycart.http.event.ClientRequest;
+import org.tallycart.platform.http.UpstreamCodec;
 import org.tallycart.wire.message.RelayCall;
 import org.tallycart.wire.message.RelayFailure;
 import org.tallycart.wire.message.RelayField;
@@ -52,7 +53,8 @@
 		HttpRequest head = new BasicHttpRequest(call.getMethod(), call.getPath());
 		call.getFieldsList().forEach((field) -> head.addHeader(field.getName(), field.getValue()));
 		return new ClientRequest(call.getConnectionPool(), new Address(call.getHost(), call.getPort()), head,
-				call.getBody().toByteArray(), call.getConnectTimeoutMs(), call.getReuseConnection());
+				call.getBody().toByteArray(), call.getConnectTimeoutMs(), call.getReuseConnection(),
+				(reply) -> UpstreamCodec.isReplyTo(head, reply));
 	}
 
 	static RelayHead encode(HttpResponse head) {
--- a/node/src/main/java/org/tallycart/node/link/RelayService.java
+++ b/node/src/main/java/org/tallycart/node/link/RelayService.java
@@ -18,7 +18,6 @@
 import org.tallycart.node.log.NodeLog;
 import org.tallycart.node.metrics.NodeMetrics;
 import org.tallycart.node.peer.PeerMesh;
-import org.tallycart.platform.http.UpstreamCodec;
 import org.tallycart.runtime.event.EventCode;
 import org.tallycart.wire.message.Envelope;
 import org.tallycart.wire.message.RelayCall;
@@ -261,7 +260,7 @@
 
 		@Override
 		public boolean onHead(HttpResponse head) {
-			if (!UpstreamCodec.isReplyTo(this.request.head(), head)) {
+			if (!this.request.replyCheck().test(head)) {
 				return false;
 			}
 			reply(RelayReply.newBuilder().setHead(RelayMessageCodec.encode(head)));
--- a/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
+++ b/node/src/main/java/org/tallycart/node/piece/PoolDriver.java
@@ -181,8 +181,8 @@
 					"pieces", call.jobs().size(), "waiting", this.dispatcher.queueSize(), "expected_ms",
 					Math.round(call.expectedMs()), "requests", requests(call));
 		this.context.statements().onSend(worker);
-		ClientRequest exchange = ClientRequest
-			.builder(worker.incarnation(), worker.address(), PieceCodec.runHead(worker))
+		ClientRequest exchange = StageCalls
+			.builder(worker, worker.address(), PieceCodec.runHead(worker, StageCalls.newId()))
 			.body(PieceCodec.runBody(call.jobs(), call.startedMs()))
 			.connectTimeoutMs(CONNECT_TIMEOUT_MS)
 			.build();
--- a/node/src/main/java/org/tallycart/node/piece/ResultReleaser.java
+++ b/node/src/main/java/org/tallycart/node/piece/ResultReleaser.java
@@ -107,8 +107,8 @@
 	}
 
 	private void send(UpstreamState state, Address worker, List<String> handles) {
-		ClientRequest exchange = ClientRequest
-			.builder(state.entry().incarnation(), worker, PieceCodec.releaseHead(state.entry()))
+		ClientRequest exchange = StageCalls
+			.builder(state.entry(), worker, PieceCodec.releaseHead(state.entry(), StageCalls.newId()))
 			.body(PieceCodec.releaseBody(handles))
 			.build();
 		FullReplyCall.start(this.http, this.loop.executor(), exchange, TIMEOUT_MS, (outcome) -> {
