--- a/http/src/main/java/org/tallycart/http/event/CallerConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/CallerConnection.java
@@ -93,10 +93,8 @@
 		this.handler = handler;
 		this.registry = registry;
 		this.limits = handler.limits();
-		this.reader = new MessageReader<>(messageLimits(),
-				(config) -> new DefaultHttpRequestParser<>(DefaultHttpRequestFactory.INSTANCE,
-						StrictLineParser.INSTANCE, config),
-				this);
+		this.reader = new MessageReader<>(messageLimits(), (config) -> new DefaultHttpRequestParser<>(config,
+				StrictLineParser.INSTANCE, DefaultHttpRequestFactory.INSTANCE), this);
 	}
 
 	private MessageLimits messageLimits() {
--- a/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
+++ b/http/src/main/java/org/tallycart/http/event/UpstreamConnection.java
@@ -64,10 +64,8 @@
 		this.pool = pool;
 		this.limits = limits;
 		this.observer = observer;
-		this.reader = new MessageReader<>(limits,
-				(config) -> new DefaultHttpResponseParser<>(DefaultHttpResponseFactory.INSTANCE,
-						StrictLineParser.INSTANCE, config),
-				this);
+		this.reader = new MessageReader<>(limits, (config) -> new DefaultHttpResponseParser<>(config,
+				StrictLineParser.INSTANCE, DefaultHttpResponseFactory.INSTANCE), this);
 	}
 
 	@Override
