Tests with an upstream of raw bytes share it

EarlyReplyTests and MalformedReplyRequestTests each opened a socket, accepted and served in the same way; RawUpstream does, and is closed with its class. StoppingVmTests interrupted a thread that an interrupt does not end; it is a daemon now. Assertions, bounds and rows are unchanged.

--- a/node/src/test/java/org/tallycart/node/EarlyReplyTests.java
+++ b/node/src/test/java/org/tallycart/node/EarlyReplyTests.java
@@ -2,15 +2,13 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.stream.Stream;
 
-import org.tallycart.core.ini.Address;
 import org.tallycart.platform.standin.UpstreamStandin;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -34,7 +32,7 @@
 
 	private static final int RUNS = 10;
 
-	private final ServerSocket upstream = listen();
+	private final RawUpstream upstream = RawUpstream.start(this::serve);
 
 	private volatile End end = End.RESET;
 
@@ -68,34 +66,19 @@
 	void addUpstream(String service, String id) {
 		UpstreamStandin standin = UpstreamStandin.start(id, this.group);
 		this.upstreams.put(id, standin);
-		standin.advertise(new Address("127.0.0.1", this.upstream.getLocalPort()));
+		standin.advertise(this.upstream.address());
 		this.store.put("servers", id, standin.entry(service, "d", "ready"));
 	}
 
-	private ServerSocket listen() {
-		try {
-			ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-			Thread accepting = new Thread(() -> accept(socket));
-			accepting.setDaemon(true);
-			accepting.start();
-			return socket;
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
+	@AfterClass
+	void closeUpstream() {
+		this.upstream.close();
 	}
 
-	private void accept(ServerSocket socket) {
-		while (!socket.isClosed()) {
-			try (Socket vm = socket.accept()) {
-				if (vm.getInputStream().read(new byte[1 << 10]) > 0) {
-					vm.getOutputStream().write(REPLY.getBytes(StandardCharsets.ISO_8859_1));
-					end(vm);
-				}
-			}
-			catch (IOException ex) {
-				// The VM has closed the connection.
-			}
+	private void serve(Socket vm) throws IOException {
+		if (vm.getInputStream().read(new byte[1 << 10]) > 0) {
+			vm.getOutputStream().write(REPLY.getBytes(StandardCharsets.ISO_8859_1));
+			end(vm);
 		}
 	}
 
--- a/node/src/test/java/org/tallycart/node/MalformedReplyRequestTests.java
+++ b/node/src/test/java/org/tallycart/node/MalformedReplyRequestTests.java
@@ -1,13 +1,11 @@
 package org.tallycart.node;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-import org.tallycart.core.ini.Address;
 import org.tallycart.platform.standin.UpstreamStandin;
+import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -26,7 +24,7 @@
 
 	private static final String REST = "Content-Length: " + BODY.length() + "\r\n\r\n" + BODY;
 
-	private final ServerSocket upstream = listen();
+	private final RawUpstream upstream = RawUpstream.start(this::serve);
 
 	private volatile String reply = "";
 
@@ -40,42 +38,26 @@
 		UpstreamStandin standin = UpstreamStandin.start(id, this.group);
 		this.upstreams.put(id, standin);
 		if (service.equals("plain")) {
-			standin.advertise(new Address("127.0.0.1", this.upstream.getLocalPort()));
+			standin.advertise(this.upstream.address());
 		}
 		this.store.put("servers", id, standin.entry(service, "d", "ready"));
 	}
 
-	private ServerSocket listen() {
-		try {
-			ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-			Thread accepting = new Thread(() -> accept(socket));
-			accepting.setDaemon(true);
-			accepting.start();
-			return socket;
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
+	private void serve(Socket vm) throws IOException {
+		if (vm.getInputStream().read(new byte[1 << 16]) > 0) {
+			vm.getOutputStream().write(this.reply.getBytes(StandardCharsets.ISO_8859_1));
+			vm.shutdownOutput();
+			vm.getInputStream().readAllBytes();
 		}
 	}
 
-	private void accept(ServerSocket socket) {
-		while (!socket.isClosed()) {
-			try (Socket caller = socket.accept()) {
-				int received = caller.getInputStream().read(new byte[1 << 16]);
-				if (received > 0) {
-					caller.getOutputStream().write(this.reply.getBytes(StandardCharsets.ISO_8859_1));
-					caller.shutdownOutput();
-					caller.getInputStream().readAllBytes();
-				}
-			}
-			catch (IOException ex) {
-				// The VM has closed the connection.
-			}
-		}
+	@AfterClass
+	void closeUpstream() {
+		this.upstream.close();
 	}
 
 	@AfterMethod
-	void stopUpstream() {
+	void clearReply() {
 		this.reply = "";
 	}
 
--- a/node/src/test/java/org/tallycart/node/StoppingVmTests.java
+++ b/node/src/test/java/org/tallycart/node/StoppingVmTests.java
@@ -52,6 +52,7 @@
 				+ "X-Tallycart-Deadline-Ms: 9000\r\n" + headers + "\r\n";
 		// The VM does not stop before this stream has ended.
 		Thread other = new Thread(() -> request(node, "/fragile/x", "other", GENERATION));
+		other.setDaemon(true);
 		other.start();
 		await(() -> runs("other") == 1);
 		node.drain();
@@ -66,7 +67,6 @@
 			assertEquals(response.contains("Retry-After"), runs == 0, response);
 			assertEquals(runs("r"), runs);
 		}
-		other.interrupt();
 	}
 
 	private static void write(Socket socket, String text) throws IOException {
