An odd record of software versions concerns its own service only

Callers would see: broken streams of all services that are not resumed at a VM that started lately, while one record of the kind is malformed or more records exist than a page lists; no version is recorded meanwhile either.

Cause: SoftwareVersionRecords.read failed as a whole for one malformed record, and for a second page, although an entry of another writer is enough for both.

The history of a service with an invalid record is unknown, as before; its record is not replaced, since a version that it held would be lost and another one could pass for the only one.

--- a/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
+++ b/node/src/main/java/org/tallycart/node/stream/SoftwareVersionHistory.java
@@ -67,7 +67,7 @@
 
 	private final List<Runnable> waiting = new ArrayList<>();
 
-	private Map<String, VersionHistory> read = Map.of();
+	private Map<String, Either<String, VersionHistory>> read = Map.of();
 
 	private long readMs = Long.MIN_VALUE / 2;
 
@@ -131,6 +131,7 @@
 	private boolean isOnlyRecorded(String service, String version) {
 		long sinceMs = Clocks.SYSTEM.wallMs() - StreamOriginRegistry.RETENTION_MS - CLOCK_DIFFERENCE_MS;
 		return Optional.ofNullable(this.read.get(service))
+			.flatMap(Either::toJavaOptional)
 			.flatMap((history) -> history.onlyVersionSince(sinceMs))
 			.filter(version::equals)
 			.isPresent();
@@ -147,10 +148,9 @@
 		}
 	}
 
-	private void onRead(Either<String, Map<String, VersionHistory>> outcome) {
+	private void onRead(Either<String, Map<String, Either<String, VersionHistory>>> outcome) {
 		this.read = outcome.getOrElse(Map.of());
-		outcome.peek((histories) -> this.readMs = this.loop.nowMs())
-			.peekLeft((reason) -> this.log.event(EventCode.SOFTWARE_VERSIONS, "read", false, "reason", reason));
+		outcome.peek((histories) -> this.readMs = this.loop.nowMs()).peekLeft(this::logUnread);
 		List<Runnable> tasks = List.copyOf(this.waiting);
 		this.waiting.clear();
 		tasks.forEach(Runnable::run);
@@ -183,22 +183,36 @@
 		}
 	}
 
-	private void write(Either<String, Map<String, VersionHistory>> current, Map<String, Set<String>> changed) {
+	private void logUnread(String reason) {
+		this.log.event(EventCode.SOFTWARE_VERSIONS, "read", false, "reason", reason);
+	}
+
+	private void write(Either<String, Map<String, Either<String, VersionHistory>>> current,
+			Map<String, Set<String>> changed) {
 		this.writing = false;
-		if (current.isLeft()) {
+		current.peekLeft((reason) -> {
 			this.nextWriteMs = this.loop.nowMs() + RETRY_MS;
-			this.log.event(EventCode.SOFTWARE_VERSIONS, "read", false, "reason", current.getLeft());
-			return;
+			logUnread(reason);
+		})
+			.peek((histories) -> changed
+				.forEach((service, listed) -> histories.getOrDefault(service, Either.right(VersionHistory.EMPTY))
+					.peekLeft((reason) -> onInvalid(service, reason))
+					.peek((former) -> write(service, former, listed))));
+	}
+
+	private void write(String service, VersionHistory former, Set<String> listed) {
+		VersionHistory updated = former.updated(listed, Clocks.SYSTEM.wallMs());
+		this.recorded.put(service, listed);
+		if (!updated.equals(former)) {
+			this.log.event(EventCode.SOFTWARE_VERSIONS, "service", service, "listed", listed);
+			this.records.publish(service, updated, (done) -> onWritten(service, done));
 		}
-		changed.forEach((service, listed) -> {
-			VersionHistory former = current.get().getOrDefault(service, VersionHistory.EMPTY);
-			VersionHistory updated = former.updated(listed, Clocks.SYSTEM.wallMs());
-			this.recorded.put(service, listed);
-			if (!updated.equals(former)) {
-				this.log.event(EventCode.SOFTWARE_VERSIONS, "service", service, "listed", listed);
-				this.records.publish(service, updated, (done) -> onWritten(service, done));
-			}
-		});
+	}
+
+	// An invalid record is not replaced, since versions that it held would be lost.
+	private void onInvalid(String service, String reason) {
+		this.nextWriteMs = this.loop.nowMs() + RETRY_MS;
+		logUnread(service + ": " + reason);
 	}
 
 	private void onWritten(String service, boolean done) {
