Text of others stays one value of one line in logs

Operators would see: lines that no process wrote, or fields that are not those of the event, from a name in the store or the id of a caller's request; CR, escape sequences and separators of lines went into lines as they were, and the id of a request without quotes.

Cause: NodeLog replaced only line feeds and quotes, EventLog nothing.

A line feed was a blank and is an escape now.

--- a/node/src/main/java/org/tallycart/node/log/NodeLog.java
+++ b/node/src/main/java/org/tallycart/node/log/NodeLog.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.tallycart.runtime.event.EventCode;
+import org.tallycart.runtime.event.LogText;
 
 /**
  * Writes one line of {@code name=value} pairs for each decision and each change of state
@@ -68,7 +69,7 @@
 		StringBuilder line = new StringBuilder(160);
 		line.append("event=").append(code.code()).append(" name=").append(code);
 		if (!requestId.isEmpty()) {
-			line.append(" request=").append(requestId);
+			line.append(" request=").append(quoted(requestId));
 		}
 		for (int i = 0; i + 1 < pairs.length; i += 2) {
 			line.append(' ').append(pairs[i]).append('=').append(quoted(String.valueOf(pairs[i + 1])));
@@ -95,9 +96,11 @@
 		return true;
 	}
 
+	// A value that looks like several pairs, or holds escapes, is quoted.
 	private static String quoted(String value) {
-		boolean plain = !value.isEmpty() && value.indexOf(' ') < 0 && value.indexOf('"') < 0 && value.indexOf('\n') < 0;
-		return plain ? value : '"' + value.replace("\"", "'").replace("\n", " ") + '"';
+		String text = LogText.escape(value);
+		boolean plain = text.equals(value) && !value.isEmpty() && value.indexOf(' ') < 0 && value.indexOf('"') < 0;
+		return plain ? value : '"' + text.replace("\"", "'") + '"';
 	}
 
 }
--- a/runtime/src/main/java/org/tallycart/runtime/event/EventLog.java
+++ b/runtime/src/main/java/org/tallycart/runtime/event/EventLog.java
@@ -70,8 +70,8 @@
 	public void emit(EventCode code, String requestId, String detail) {
 		append(code, requestId, detail);
 		if (LOGGER.isEnabledForLevel(code.level())) {
-			String request = requestId.isEmpty() ? "" : " request=" + requestId;
-			LOGGER.atLevel(code.level()).log("{}{} {}", code.code(), request, detail);
+			String request = requestId.isEmpty() ? "" : " request=" + LogText.escape(requestId);
+			LOGGER.atLevel(code.level()).log("{}{} {}", code.code(), request, LogText.escape(detail));
 		}
 	}
 
