The fault soak writes objects of another writer under odd names

Up to eight names with separators, escapes, line ends, control characters and characters beyond ASCII, in each kind of the store (upstreams, configuration, evacuations, quarantine, VMs, software versions), come and go beside the other faults, which include restarts, slow and silent stores and rollbacks. Lists of the store continue only after names that it holds. A generator of its own leaves the sequences of the other faults of a seed as they were.

--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFaults.java
@@ -61,6 +61,15 @@
 	/** One of this many faults comes with an upstream whose replies have no end. */
 	private static final int ENDLESS_INTERVAL = 4;
 
+	/** One of this many faults comes with objects of another writer with odd names. */
+	private static final int ODD_NAMES_INTERVAL = 3;
+
+	/** More than two pages of such objects. */
+	private static final int MAX_ODD_NAMES = 8;
+
+	private static final List<String> ODD_SUFFIXES = List.of("&", "&after=a", "+", " ", "#", "%", "%41", "?", ",", "\n",
+			"\r\nX: y", "\u00e9", "\u0000", "/..");
+
 	private static final List<EndlessReplyProxy.Kind> ENDLESS = Stream.of(EndlessReplyProxy.Kind.values())
 		.filter((kind) -> !kind.hasEvents())
 		.toList();
@@ -108,6 +117,8 @@
 
 	private final Random endlessRandom;
 
+	private final Random nameRandom;
+
 	private final Set<SoakNode> withoutLinks = ConcurrentHashMap.newKeySet();
 
 	private final ScheduledExecutorService undoExecutor = Executors.newScheduledThreadPool(UNDO_THREADS);
@@ -127,6 +138,7 @@
 		this.connectionRandom = new Random(~Long.reverseBytes(seed));
 		this.silenceRandom = new Random(Long.rotateLeft(seed, Integer.SIZE));
 		this.endlessRandom = new Random(~Long.rotateLeft(seed, Integer.SIZE));
+		this.nameRandom = new Random(Long.rotateLeft(seed, Integer.SIZE / 2));
 	}
 
 	/**
@@ -164,6 +176,9 @@
 			if (this.endlessRandom.nextInt(ENDLESS_INTERVAL) == 0) {
 				replyEndlessly();
 			}
+			if (this.nameRandom.nextInt(ODD_NAMES_INTERVAL) == 0) {
+				writeOddNames();
+			}
 			SoakCallers.pause(this.random.nextInt(MAX_GAP_MS));
 		}
 		for (Future<?> each : this.undoTasks) {
@@ -288,6 +303,24 @@
 				() -> this.fleet.upstreamPath(upstream).setReplyOverride(Optional.empty()));
 	}
 
+	// Writes objects of one kind under names that begin with that of a sound object.
+	private void writeOddNames() {
+		OddObjects[] kinds = OddObjects.values();
+		OddObjects odd = kinds[this.nameRandom.nextInt(kinds.length)];
+		List<String> sound = this.fleet.store().names(odd.kind);
+		String prefix = sound.isEmpty() ? "n" : sound.get(this.nameRandom.nextInt(sound.size()));
+		List<String> suffixes = new ArrayList<>(ODD_SUFFIXES);
+		Collections.shuffle(suffixes, this.nameRandom);
+		List<String> names = suffixes.subList(0, 1 + this.nameRandom.nextInt(MAX_ODD_NAMES))
+			.stream()
+			.map((suffix) -> prefix + suffix + "x")
+			.toList();
+		this.violations.note(names.size() + " odd names after " + prefix + " of the kind " + odd.kind);
+		names.forEach((name) -> this.fleet.store().put(odd.kind, name, odd.spec));
+		undoAfter(MIN_DURATION_MS + this.nameRandom.nextInt(MAX_DURATION_MS),
+				() -> names.forEach((name) -> this.fleet.store().removeIfPresent(odd.kind, name)));
+	}
+
 	private void replyUnframed() {
 		List<String> ids = this.fleet.upstreamIds();
 		String upstream = ids.get(this.unframedRandom.nextInt(ids.size()));
@@ -429,6 +462,26 @@
 		this.undoExecutor.shutdownNow();
 	}
 
+	/** Objects that another writer may leave in the store. */
+	private enum OddObjects {
+
+		UPSTREAM("servers", """
+				{"service":"plain","address":"127.0.0.1:1","zone":"d","version":"v0","slots":4,"state":"ready",
+				 "seq":1,"cold_left_ms":0}"""), CONFIGURATION("config", "{\"version\":1000000}"),
+		EVACUATION("evacuations", "{}"), QUARANTINE("tallycart-quarantine", "{\"until_ms\":1}"),
+		VM("tallycart-vms", "{\"address\":\"no.host:1\"}"), SOFTWARE_VERSIONS("tallycart-software", "7");
+
+		private final String kind;
+
+		private final String spec;
+
+		OddObjects(String kind, String spec) {
+			this.kind = kind;
+			this.spec = spec;
+		}
+
+	}
+
 	/** Clears a fault. */
 	@FunctionalInterface
 	private interface UndoAction {
--- a/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
+++ b/integration-tests/src/test/java/org/tallycart/integration/soak/SoakFleet.java
@@ -116,6 +116,7 @@
 		Files.createDirectories(folder);
 		this.vmHosts = IntStream.range(0, vms).mapToObj(SoakFleet::vmHost).toList();
 		this.store.rewriteAddresses(this::peerPath);
+		this.store.continueAfterKnownNamesOnly(true);
 		for (String service : List.of("plain", "engine", "pool")) {
 			for (int i = 0; i < UPSTREAMS_PER_SERVICE; i++) {
 				addUpstream(service);
