--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
 import java.net.Socket;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,6 +19,8 @@
 
 	private long revision = 100;
 
+	private static final String PARAMETER = "(after=[^&=]+|(is_stale|watch|wait_ms|rev)=\\d+)";
+
 	private final Http.Server server;
 
 	Store(String ip) throws IOException {
@@ -55,7 +59,28 @@
 		return new ArrayList<>(this.kinds.getOrDefault(kind, new TreeMap<>()).values());
 	}
 
+	/** The request line is three words of printable ASCII, and the target a URI with parameters that exist. */
+	private static boolean wellFormed(Http.Message request) {
+		if (!request.line.matches("[A-Z]+ /v1/objects/[!-~]+ HTTP/1\\.1")) {
+			return false;
+		}
+		try {
+			URI uri = new URI(request.target());
+			String path = uri.getRawPath().substring("/v1/objects/".length());
+			String query = uri.getRawQuery();
+			return uri.getRawFragment() == null && path.matches("[^/]+(/[^/]+(/status)?)?")
+					&& (query == null || query.matches(PARAMETER + "(&" + PARAMETER + ")*"));
+		}
+		catch (URISyntaxException ex) {
+			return false;
+		}
+	}
+
 	private boolean handle(Http.Message request, Socket socket) throws Exception {
+		if (!wellFormed(request)) {
+			Http.respond(socket, 400, "", new byte[0]);
+			return true;
+		}
 		String[] target = request.target().split("\\?", 2);
 		Map<String, String> query = new TreeMap<>();
 		if (target.length > 1) {
@@ -65,6 +90,9 @@
 			}
 		}
 		String[] path = target[0].substring("/v1/objects/".length()).split("/");
+		for (int i = 0; i < path.length; i++) {
+			path[i] = URLDecoder.decode(path[i].replace("+", "%2B"), StandardCharsets.UTF_8);
+		}
 		String kind = path[0];
 		int status = 200;
 		Object body = Map.of();
