Requests with a control character in their request line are refused

Callers would see: the request of one caller with a control character in its target went to an upstream as it was, which refuses it, or closes the connection, and then counts as one that failed.

Cause: StrictLineParser checked status lines and fields, not request lines; the target of a caller becomes that of the request to the upstream.

Evidence: on the commit before, 6 of 8 new rows of ConnectionTests' refusesBadRequest... failed: no refusal. A blank and a tab were refused already.

Fix: a request line holds no control character, or the answer is 400. Bytes beyond ASCII are forwarded unchanged, as before.

--- a/http/src/main/java/org/tallycart/http/StrictLineParser.java
+++ b/http/src/main/java/org/tallycart/http/StrictLineParser.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.message.BasicLineParser;
 import org.apache.hc.core5.http.message.BufferedHeader;
+import org.apache.hc.core5.http.message.RequestLine;
 import org.apache.hc.core5.http.message.StatusLine;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
@@ -36,6 +37,12 @@
 	private StrictLineParser() {
 	}
 
+	@Override
+	public RequestLine parseRequestLine(CharArrayBuffer line) throws ParseException {
+		checkText(line, 0, "a request line");
+		return super.parseRequestLine(line);
+	}
+
 	@Override
 	public StatusLine parseStatusLine(CharArrayBuffer line) throws ParseException {
 		boolean version = line.length() >= STATUS_END && line.substring(0, VERSION.length()).equals(VERSION)
--- a/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
+++ b/http/src/test/java/org/tallycart/http/event/ConnectionTests.java
@@ -146,7 +146,13 @@
 				{ "GET /a HTTP/1.1\r\nX Y: 1\r\n\r\n", "400" }, { "GET /a HTTP/1.1\r\nX: a\u0000b\r\n\r\n", "400" },
 				{ "POST /a HTTP/1.1\r\nContent-Length: 3001\r\n\r\n", "413" },
 				{ "GET /a HTTP/1.1\r\nX: " + "x".repeat(1_500) + "\r\nY: " + "y".repeat(1_000) + "\r\n", "431" },
-				{ "GET /a HTTP/1.1\r\nX: half a head", "408" } };
+				{ "GET /a HTTP/1.1\r\nX: half a head", "408" }, { "GET /a\u0000 HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+				{ "GET /a\u0001b HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+				{ "GET /a\u000bb HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+				{ "GET /a\rb HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+				{ "GET /a\u001b[2J HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+				{ "GET /a\u007f HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
+				{ "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n", "400" }, { "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", "400" } };
 	}
 
 	@Test(dataProvider = "badRequests")
