--- a/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
+++ b/node/src/test/java/org/tallycart/node/AbstractNodeTests.java
@@ -116,12 +116,28 @@
 			}
 		}
 		this.store.put("config", "main", String.format(config(), 7));
+		startVms();
+	}
+
+	// Starts the VMs that a test starts with, and waits until they are ready.
+	void startVms() {
 		for (int i = 0; i < vms(); i++) {
 			this.nodes.add(Node.start(settings("vm-" + i), 0, Optional.empty(), hedgeLimits()).get());
 		}
 		this.nodes.forEach((node) -> await(() -> ready(node)));
 	}
 
+	// Stops all VMs at once, as kills would.
+	void stopVms() {
+		this.nodes.forEach(Node::close);
+		this.nodes.clear();
+	}
+
+	void restartVms() {
+		stopVms();
+		startVms();
+	}
+
 	@AfterMethod
 	void end() throws InterruptedException {
 		this.calling = false;
--- a/node/src/test/java/org/tallycart/node/OddEntryNameTests.java
+++ b/node/src/test/java/org/tallycart/node/OddEntryNameTests.java
@@ -38,12 +38,7 @@
 		this.store.continueAfterKnownNamesOnly(true);
 		odd.forEach((name) -> addUpstream("plain", name));
 		int listsBefore = this.store.listCount("servers");
-		this.nodes.forEach(Node::close);
-		this.nodes.clear();
-		for (int i = 0; i < vms(); i++) {
-			this.nodes.add(Node.start(settings("vm-" + i), 0).get());
-		}
-		this.nodes.forEach((node) -> await(() -> ready(node)));
+		restartVms();
 		for (Node node : this.nodes) {
 			for (int i = 0; i < CALLS; i++) {
 				String id = this.nodes.indexOf(node) + "-" + i;
--- a/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
+++ b/node/src/test/java/org/tallycart/node/SoftwareVersionTests.java
@@ -205,8 +205,7 @@
 		if (leaveBefore) {
 			replaceEngines(versions);
 		}
-		this.nodes.forEach(Node::close);
-		this.nodes.clear();
+		stopVms();
 		if (!leaveBefore) {
 			replaceEngines(versions);
 		}
@@ -227,12 +226,7 @@
 	void aStreamGoesOnAfterTheLossOfAllVmsWhileOneVersionServes() {
 		List<String> streams = beginBrokenStreams(this.nodes.get(0));
 		await(() -> this.store.names("tallycart-software").contains("engine"));
-		this.nodes.forEach(Node::close);
-		this.nodes.clear();
-		for (int i = 0; i < vms(); i++) {
-			this.nodes.add(Node.start(settings("vm-" + i), 0).get());
-		}
-		this.nodes.forEach((node) -> await(() -> ready(node)));
+		restartVms();
 		for (Node node : this.nodes) {
 			assertEquals(resume(node, streams), STREAMS);
 		}
