An invalid record of a VM is logged once, not with each list

Operators would see: a TC6013 line from each VM for each second that a record of another writer stands, since the records of VMs are listed once a second.

Cause: VmRecordSink logged each record that it could not read each time.

Fix: as for upstreams, a line is written when a record becomes invalid. A record that becomes invalid by a change names no VM any more, as it does by a list.

--- a/node/src/main/java/org/tallycart/node/store/VmRecordSink.java
+++ b/node/src/main/java/org/tallycart/node/store/VmRecordSink.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import org.tallycart.core.fleet.VmRecord;
@@ -16,12 +18,15 @@
 /**
  * Collects the records of all VMs.
  * <p>
- * Not thread-safe: confined to the event loop.
+ * Invariant: an invalid record names no VM, and does not affect the others. Not
+ * thread-safe: confined to the event loop.
  */
 final class VmRecordSink implements ObjectSink {
 
 	private final Map<String, VmRecord> records = new HashMap<>();
 
+	private final Set<String> invalid = new HashSet<>();
+
 	private final NodeLog log;
 
 	private final Consumer<Collection<VmRecord>> onRecords;
@@ -33,28 +38,34 @@
 
 	@Override
 	public void onAll(List<StoredObject> objects) {
+		Set<String> invalidBefore = Set.copyOf(this.invalid);
 		this.records.clear();
-		objects.forEach(this::add);
+		this.invalid.clear();
+		objects.forEach((object) -> add(object, invalidBefore));
 		this.onRecords.accept(this.records.values());
 	}
 
 	@Override
 	public void onChanges(List<ObjectChange> changes) {
 		for (ObjectChange change : changes) {
-			if (change.removed()) {
-				this.records.remove(change.object().name());
-			}
-			else {
-				add(change.object());
+			String name = change.object().name();
+			this.records.remove(name);
+			boolean wasInvalid = this.invalid.remove(name);
+			if (!change.removed()) {
+				add(change.object(), wasInvalid ? Set.of(name) : Set.of());
 			}
 		}
 		this.onRecords.accept(this.records.values());
 	}
 
-	private void add(StoredObject object) {
-		VmRecords.decode(object)
-			.peek((record) -> this.records.put(record.vm(), record))
-			.peekLeft((reason) -> this.log.event(EventCode.VM_LOST, "vm", object.name(), "reason", reason));
+	// A record that stays invalid is logged once, not each time it is read.
+	private void add(StoredObject object, Set<String> invalidBefore) {
+		VmRecords.decode(object).peek((record) -> this.records.put(record.vm(), record)).peekLeft((reason) -> {
+			this.invalid.add(object.name());
+			if (!invalidBefore.contains(object.name())) {
+				this.log.event(EventCode.VM_LOST, "vm", object.name(), "reason", reason);
+			}
+		});
 	}
 
 }
