--- a/review/standin-2/SlowReadAtStop.java
+++ b/review/standin-2/SlowReadAtStop.java
@@ -4,7 +4,7 @@
 import java.util.*;
 import java.util.concurrent.atomic.*;
 
-/** Case 6: SIGTERM while clients read long answers at a moderate pace. */
+/** Case: SIGTERM while clients read long answers at a moderate pace. */
 final class SlowReadAtStop {
 
 	private static final int CLIENTS = 6;
