--- a/review/standin-2/SlowReadersStreams.java
+++ b/review/standin-2/SlowReadersStreams.java
@@ -10,7 +10,7 @@
 
 	private static final int LONGEST = 36;
 
-	private static final int STREAMS = 40;
+	private static final int STREAMS = 60;
 
 	private static final int EVENTS = 100;
 
